--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; not part of CI."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments and a demonstration."""
--- /dev/null
+++ b/src/clementinekeel/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests to a backend server's slots."""
--- /dev/null
+++ b/src/clementinekeel/admission/messages.py
@@ -0,0 +1,70 @@
+"""Requests for admission and the answers to them."""
+
+from typing import NamedTuple
+
+
+class Offer(NamedTuple):
+    """A request that asks for a slot.
+
+    Attributes
+    ----------
+    stream : int
+        Identifies the request at this node.
+    rank : int
+        Rank of its class; 0 is shed last.
+    expires_ms : int
+        When its caller stops waiting, on this node's clock.
+    """
+
+    stream: int
+    rank: int
+    expires_ms: int
+
+
+class Admit(NamedTuple):
+    """The request has a slot."""
+
+    stream: int
+
+
+class Enqueue(NamedTuple):
+    """The request waits for a slot."""
+
+    stream: int
+
+
+class Refuse(NamedTuple):
+    """The request gets no slot and has not run.
+
+    Attributes
+    ----------
+    reason : str
+        ``overload``, ``deadline``, ``displaced`` or ``leaving``.
+    retry_after_ms : int
+        Earliest sensible time for another attempt.
+    """
+
+    stream: int
+    reason: str
+    retry_after_ms: int
+
+
+Decision = Admit | Enqueue | Refuse
+
+
+class Level(NamedTuple):
+    """What an endpoint admits at present, sent with each answer.
+
+    Attributes
+    ----------
+    rank : int
+        Least important rank that is still admitted.
+    load : float
+        Requests running and queued, as a share of the concurrency limit.
+    retry_after_ms : int
+        Hint for refused requests.
+    """
+
+    rank: int
+    load: float
+    retry_after_ms: int
--- /dev/null
+++ b/src/clementinekeel/backends/__init__.py
@@ -0,0 +1,1 @@
+"""The backend server beside the node."""
--- /dev/null
+++ b/src/clementinekeel/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/src/clementinekeel/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Inventory and rules."""
--- /dev/null
+++ b/src/clementinekeel/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The node process."""
--- /dev/null
+++ b/src/clementinekeel/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of the fleet and failure detection."""
--- /dev/null
+++ b/src/clementinekeel/membership/records.py
@@ -0,0 +1,58 @@
+"""Records that nodes publish about themselves."""
+
+import enum
+from typing import NamedTuple
+
+
+class MemberState(enum.StrEnum):
+    """Whether a node takes new work."""
+
+    JOINING = "joining"
+    READY = "ready"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+class MemberId(NamedTuple):
+    """Identity of one run of a node's process.
+
+    Attributes
+    ----------
+    incarnation : int
+        64 random bits drawn at process start; not ordered.
+    """
+
+    node_id: str
+    incarnation: int
+
+
+class MemberRecord(NamedTuple):
+    """What a node publishes about itself.
+
+    Attributes
+    ----------
+    version : int
+        Grows with each change; only the node itself raises it.
+    address : str
+        ``ip:port`` of the node, for zmq over TCP and for gossip over UDP.
+    service, endpoint : str
+        What its backend server announced; empty until it has.
+    configuration_version : int
+        Version of the configuration in force at the node.
+    """
+
+    node_id: str
+    incarnation: int
+    version: int
+    zone: str
+    region: str
+    address: str
+    state: MemberState
+    service: str
+    endpoint: str
+    configuration_version: int
+
+    @property
+    def member_id(self) -> MemberId:
+        """Identity of the process that published the record."""
+        return MemberId(self.node_id, self.incarnation)
--- /dev/null
+++ b/src/clementinekeel/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Messages to and from other nodes."""
--- /dev/null
+++ b/src/clementinekeel/nodes/streams.py
@@ -0,0 +1,207 @@
+"""Bodies in transit between nodes, with flow control and a whole-body check.
+
+A body longer than one frame is sent in chunks. The receiver grants credit,
+one per chunk, so that a slow receiver holds the sender back and a stream
+never holds more than ``WINDOW_CHUNKS`` chunks at a node.
+"""
+
+import collections
+from collections.abc import AsyncIterator, Callable
+import hashlib
+
+import anyio
+
+from clementinekeel.nodes import messages
+from clementinekeel.runtime import errors
+
+CHUNK_BYTES = 64 * 1024
+WINDOW_CHUNKS = 16
+DIGEST_BYTES = 16
+
+
+class BodyError(errors.StepError):
+    """A body was cut, reordered, or does not fit its digest."""
+
+
+class Inflow:
+    """Receiving end of a body.
+
+    Parameters
+    ----------
+    peer : str
+        Sender, for errors.
+    grant : Callable
+        Called with the number of further chunks the sender may send.
+    """
+
+    def __init__(self, peer: str, grant: Callable[[int], None]) -> None:
+        self._peer = peer
+        self._grant = grant
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._changed = anyio.Event()
+        self._digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self._length = 0
+        self._next_sequence = 0
+        self._is_complete = False
+        self._error: BodyError | None = None
+
+    def open(self, first: bytes, is_last: bool) -> None:
+        """Take the part of the body that came with the first message."""
+        if first:
+            self._append(first)
+        self._is_complete = is_last
+
+    def on_chunk(self, chunk: messages.Chunk, body: bytes) -> None:
+        """Take the next chunk; a wrong one fails the stream."""
+        if self._error is not None or self._is_complete:
+            return
+        if chunk.sequence != self._next_sequence:
+            self.fail("chunk out of sequence")
+            return
+        if len(self._chunks) > 2 * WINDOW_CHUNKS:
+            self.fail("sender exceeds its credit")
+            return
+        self._next_sequence += 1
+        self._append(body)
+        if chunk.last:
+            self._finish(chunk)
+
+    def fail(self, reason: str) -> None:
+        """End the body as cut."""
+        if self._error is None and not self._is_complete:
+            self._error = BodyError("receive body", self._peer, reason)
+            self._notify()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body.
+
+        Yields
+        ------
+        bytes
+            Non-empty parts in order.
+
+        Raises
+        ------
+        BodyError
+            If the body is cut or does not fit its length and digest. A body
+            is whole only when the iteration ends without an error.
+        """
+        while True:
+            if self._chunks:
+                yield self._chunks.popleft()
+                if not self._is_complete:
+                    self._grant(1)
+            elif self._error is not None:
+                raise self._error
+            elif self._is_complete:
+                return
+            else:
+                self._changed = anyio.Event()
+                await self._changed.wait()
+
+    def _append(self, data: bytes) -> None:
+        if data:
+            self._chunks.append(data)
+            self._digest.update(data)
+            self._length += len(data)
+        self._notify()
+
+    def _finish(self, chunk: messages.Chunk) -> None:
+        is_whole = (
+            chunk.length == self._length
+            and chunk.digest == self._digest.digest()
+        )
+        if is_whole:
+            self._is_complete = True
+            self._notify()
+        else:
+            self.fail("length or digest does not fit")
+
+    def _notify(self) -> None:
+        self._changed.set()
+
+
+class Outflow:
+    """Sending end of a body.
+
+    Parameters
+    ----------
+    stream : int
+        Stream number in the messages.
+    peer : str
+        Receiver, for errors.
+    send : Callable
+        Sends a chunk message with its body; returns False if it cannot.
+    credit : int
+        Chunks that may be sent at once.
+    """
+
+    def __init__(
+        self,
+        stream: int,
+        peer: str,
+        send: Callable[[messages.Chunk, bytes], bool],
+        credit: int,
+    ) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._send = send
+        self._credit = credit
+        self._changed = anyio.Event()
+        self._digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self._length = 0
+        self._sequence = 0
+        self._error: BodyError | None = None
+
+    def open(self, first: bytes) -> None:
+        """Count the part of the body that goes with the first message."""
+        self._digest.update(first)
+        self._length += len(first)
+
+    def on_credit(self, credit: messages.Credit) -> None:
+        """Allow more chunks."""
+        self._credit += max(0, min(credit.chunks, WINDOW_CHUNKS))
+        self._changed.set()
+
+    def fail(self, reason: str) -> None:
+        """Make the sender stop."""
+        if self._error is None:
+            self._error = BodyError("send body", self._peer, reason)
+            self._changed.set()
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body, waiting for credit.
+
+        Raises
+        ------
+        BodyError
+            If the receiver is gone or has failed the stream.
+        """
+        for start in range(0, len(data), CHUNK_BYTES):
+            await self._write_chunk(data[start : start + CHUNK_BYTES], False)
+
+    async def finish(self) -> None:
+        """Send the last chunk with length and digest."""
+        await self._write_chunk(b"", True)
+
+    async def _write_chunk(self, data: bytes, is_last: bool) -> None:
+        # The last chunk is empty and needs no credit.
+        while self._credit < 1 and not is_last and self._error is None:
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        if self._error is not None:
+            raise self._error
+        self._digest.update(data)
+        self._length += len(data)
+        chunk = messages.Chunk(
+            self._stream,
+            self._sequence,
+            is_last,
+            self._length if is_last else -1,
+            self._digest.digest() if is_last else b"",
+        )
+        self._sequence += 1
+        if not is_last:
+            self._credit -= 1
+        if not self._send(chunk, data):
+            raise BodyError("send body", self._peer, "connection is full")
--- /dev/null
+++ b/src/clementinekeel/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, admin interface and metrics for operators."""
--- /dev/null
+++ b/src/clementinekeel/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""Issued idempotency keys and the outcomes of requests."""
--- /dev/null
+++ b/src/clementinekeel/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on retries."""
--- /dev/null
+++ b/src/clementinekeel/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint for a request."""
--- /dev/null
+++ b/src/clementinekeel/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, settings, logging, registries and invariants of a process."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests, demos and benchmarks."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,27 @@
+"""Common set-up of the tests."""
+
+import os
+
+import hypothesis
+import pytest
+import trio.testing
+
+from clementinekeel.runtime import invariants
+
+# Violations raise, so that no test passes over one.
+os.environ[invariants.FATAL_VARIABLE] = "1"
+
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, deadline=None, print_blob=True
+)
+hypothesis.settings.register_profile(
+    "long", max_examples=2_000, deadline=None, print_blob=True
+)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture
+def anyio_backend():
+    """Run async tests on trio with a clock that jumps when all tasks wait."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return "trio", {"clock": clock}
