--- /dev/null
+++ b/src/clementinekeel/backends/connection.py
@@ -0,0 +1,184 @@
+"""One HTTP/1.1 connection to the backend server.
+
+A request is written once. Nothing here repeats a request, because only the
+record of outcomes may decide that.
+"""
+
+from collections.abc import AsyncIterator
+import select
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import h11
+
+from clementinekeel.backends import errors
+from clementinekeel.runtime import clock
+
+READ_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+MAX_IDLE_MS = 4_000
+"""Shorter than the keep-alive time of common HTTP servers (5 s)."""
+
+Headers = tuple[tuple[str, str], ...]
+_LATIN1 = "latin-1"
+
+
+class Head(NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class Connection:
+    """An HTTP connection that runs one request at a time.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        Connected stream; owned by this object.
+    peer : str
+        Address of the backend server.
+    """
+
+    def __init__(self, stream: anyio.abc.SocketStream, peer: str) -> None:
+        self._stream = stream
+        self._peer = peer
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._was_sent = False
+        self._idle_since_ms = clock.now_ms()
+        socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._descriptor = socket.fileno()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the next request can be sent on this connection."""
+        if clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS:
+            return False
+        # An idle connection that is readable was closed by the server. A
+        # request written to it would be lost with an unknown outcome.
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLIN)
+        return not poll.poll(0)
+
+    async def send_head(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        """Write the head of a request and the first part of its body."""
+        request = h11.Request(
+            method=method,
+            target=target,
+            headers=[
+                (name.encode(_LATIN1), value.encode(_LATIN1))
+                for name, value in headers
+            ],
+        )
+        data = self._serialize(request)
+        if body:
+            data += self._serialize(h11.Data(data=body))
+        await self._write(data)
+
+    async def send_body(self, data: bytes) -> None:
+        """Write a part of the body."""
+        await self._write(self._serialize(h11.Data(data=data)))
+
+    async def send_end(self) -> None:
+        """Write the end of the request."""
+        data = self._serialize(h11.EndOfMessage())
+        if data:
+            await self._write(data)
+
+    async def receive_head(self) -> Head:
+        """Read the head of the answer."""
+        while True:
+            event = await self._next_event("receive head")
+            if isinstance(event, h11.Response):
+                headers = tuple(
+                    (name.decode(_LATIN1), value.decode(_LATIN1))
+                    for name, value in event.headers
+                )
+                return Head(event.status_code, headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._error("receive head", "connection closed")
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the answer's body.
+
+        Raises
+        ------
+        errors.BackendError
+            If the body is cut.
+        """
+        while True:
+            event = await self._next_event("receive body")
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise self._error("receive body", "connection closed")
+
+    def finish(self) -> bool:
+        """End the request; tell whether the connection can be kept."""
+        is_done = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+        )
+        if not is_done:
+            return False
+        self._http.start_next_cycle()
+        self._was_sent = False
+        self._idle_since_ms = clock.now_ms()
+        return True
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self._stream)
+
+    def _serialize(self, event: h11.Event) -> bytes:
+        try:
+            return self._http.send(event) or b""
+        except h11.LocalProtocolError as error:
+            raise self._error("send", str(error)) from error
+
+    async def _write(self, data: bytes) -> None:
+        self._was_sent = True
+        try:
+            await self._stream.send(data)
+        except (OSError, anyio.ClosedResourceError) as error:
+            raise self._error("send", _describe(error)) from error
+        except anyio.BrokenResourceError as error:
+            raise self._error("send", "connection lost") from error
+
+    async def _next_event(self, step: str) -> object:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._error(step, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._read(step))
+
+    async def _read(self, step: str) -> bytes:
+        try:
+            return await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            raise self._error(step, _describe(error)) from error
+
+    def _error(self, step: str, reason: str) -> errors.BackendError:
+        return errors.BackendError(step, self._peer, reason, self._was_sent)
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/src/clementinekeel/backends/pool.py
@@ -0,0 +1,103 @@
+"""Connections to the backend server beside the node."""
+
+import collections
+
+import anyio
+
+from clementinekeel.backends import connection
+from clementinekeel.backends import errors
+from clementinekeel.runtime import clock
+
+CONNECT_TIMEOUT_MS = 1_000
+
+
+class ConnectionPool:
+    """Keeps connections to one backend server, below its limit.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the backend server.
+    port : int
+        Its port.
+    limit : int
+        Most connections at a time.
+    """
+
+    def __init__(self, host: str, port: int, limit: int) -> None:
+        self._host = host
+        self._port = port
+        self._limit = limit
+        self._open = 0
+        # The connection used last is reused first, so that spare ones age
+        # and are closed.
+        self._idle: collections.deque[connection.Connection] = (
+            collections.deque()
+        )
+
+    @property
+    def address(self) -> str:
+        """Address of the backend server as ``ip:port``."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def open_count(self) -> int:
+        """Connections that are open."""
+        return self._open
+
+    async def acquire(self) -> connection.Connection:
+        """Return a connection on which nothing was sent yet.
+
+        Raises
+        ------
+        errors.BackendError
+            If none can be opened; nothing was sent.
+        """
+        while self._idle:
+            candidate = self._idle.pop()
+            if candidate.is_reusable:
+                return candidate
+            await self.discard(candidate)
+        if self._open >= self._limit:
+            raise self._error("connection limit reached")
+        return await self._connect()
+
+    async def release(self, used: connection.Connection) -> None:
+        """Give a connection back after a request."""
+        if used.finish():
+            self._idle.append(used)
+        else:
+            await self.discard(used)
+
+    async def discard(self, used: connection.Connection) -> None:
+        """Close a connection."""
+        self._open -= 1
+        await used.close()
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self.discard(self._idle.pop())
+
+    async def _connect(self) -> connection.Connection:
+        # Counted before the first await, so that concurrent callers cannot
+        # exceed the limit.
+        self._open += 1
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_MS / clock.MS_PER_S):
+                stream = await anyio.connect_tcp(self._host, self._port)
+        except TimeoutError as error:
+            self._open -= 1
+            raise self._error("timeout") from error
+        except OSError as error:
+            self._open -= 1
+            raise self._error(str(error)) from error
+        except BaseException:
+            self._open -= 1
+            raise
+        return connection.Connection(stream, self.address)
+
+    def _error(self, reason: str) -> errors.BackendError:
+        return errors.BackendError(
+            "connect", self.address, reason, was_sent=False
+        )
--- /dev/null
+++ b/src/clementinekeel/callers/problems.py
@@ -0,0 +1,78 @@
+"""Problem details (RFC 9457) for callers."""
+
+import math
+
+import msgspec
+
+from clementinekeel.callers import headers as caller_headers
+from clementinekeel.callers import messages
+from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.runtime import clock
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:clementinekeel:problem:"
+
+_TITLES = {
+    Outcome.REFUSED: "The request did not run",
+    Outcome.FAILED: "The request ran and failed",
+    Outcome.UNKNOWN: "The request may have run",
+    Outcome.COMPLETED: "The request ran, and its answer is not kept",
+}
+
+
+def render(
+    problem: messages.CallerProblem, request_id: str
+) -> tuple[int, messages.Headers, bytes]:
+    """Return status, headers and body of a problem answer."""
+    body = msgspec.json.encode(
+        {
+            "type": TYPE_PREFIX + problem.reason,
+            "title": _TITLES[problem.outcome],
+            "status": problem.status,
+            "detail": problem.detail,
+            "outcome": problem.outcome,
+            "reason": problem.reason,
+            "step": problem.step,
+            "peer": problem.peer,
+            "retry_after_ms": problem.retry_after_ms,
+            "request_id": request_id,
+            "idempotency_key": problem.key,
+        }
+    )
+    headers = [
+        ("content-type", CONTENT_TYPE),
+        (caller_headers.OUTCOME, str(problem.outcome)),
+        (caller_headers.REASON, problem.reason),
+    ]
+    if problem.key:
+        headers.append((caller_headers.IDEMPOTENCY_KEY, problem.key))
+    if problem.retry_after_ms > 0:
+        # Retry-After has whole seconds; the other header is exact.
+        seconds = math.ceil(problem.retry_after_ms / clock.MS_PER_S)
+        headers.append((caller_headers.RETRY_AFTER, str(seconds)))
+        headers.append(
+            (caller_headers.RETRY_AFTER_MS, str(problem.retry_after_ms))
+        )
+    return problem.status, tuple(headers), body
+
+
+def refusal(
+    status: int,
+    reason: str,
+    detail: str,
+    step: str = "accept",
+    peer: str = "caller",
+    retry_after_ms: int = 0,
+    key: str = "",
+) -> messages.CallerProblem:
+    """Return the problem for a request that did not run."""
+    return messages.CallerProblem(
+        Outcome.REFUSED,
+        status,
+        reason,
+        detail,
+        step,
+        peer,
+        retry_after_ms,
+        key,
+    )
--- /dev/null
+++ b/src/clementinekeel/daemon/attempt.py
@@ -0,0 +1,245 @@
+"""One attempt of a request at the endpoint of another node."""
+
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import anyio
+
+from clementinekeel.callers import messages as callers
+from clementinekeel.nodes import messages
+from clementinekeel.nodes import session as node_session
+from clementinekeel.nodes import streams
+from clementinekeel.routing import messages as routing
+from clementinekeel.runtime import clock
+
+CONNECT_TIMEOUT_MS = 1_000
+LATE_ANSWER_MS = 250
+"""Time after the deadline for the owner to say what became of a request."""
+
+
+class NotRun(NamedTuple):
+    """The request certainly did not run at this endpoint.
+
+    Attributes
+    ----------
+    moved : str
+        Key under which it may run elsewhere, or empty.
+    signal : Signal
+        What the attempt showed about the endpoint.
+    load : Load or None
+        What the endpoint admits, if it answered.
+    """
+
+    reason: str
+    step: str
+    peer: str
+    retry_after_ms: int
+    moved: str
+    signal: routing.Signal
+    load: messages.Load | None
+
+
+class MayHaveRun(NamedTuple):
+    """The request ran or may have run, and there is no whole answer."""
+
+    outcome: callers.Outcome
+    reason: str
+    step: str
+    peer: str
+    allowance_used: int | None
+    signal: routing.Signal
+    load: messages.Load | None
+
+
+class Answered(NamedTuple):
+    """The backend server answered.
+
+    Attributes
+    ----------
+    stream : ClientStream
+        Open until the rest of the body is read.
+    """
+
+    answer: messages.Answer
+    body: bytes
+    stream: node_session.ClientStream
+
+
+Result = NotRun | MayHaveRun | Answered
+
+
+async def connect(session: node_session.Session, expires_ms: int) -> bool:
+    """Wait until a session is open; false if it cannot be opened in time."""
+    if session.state is node_session.State.OPEN:
+        return True
+    limit_ms = min(CONNECT_TIMEOUT_MS, expires_ms - clock.now_ms())
+    with anyio.move_on_after(max(0, limit_ms) / clock.MS_PER_S):
+        return await session.wait_open()
+    return False
+
+
+async def run(
+    session: node_session.Session,
+    call: messages.Call,
+    body: callers.Body,
+    expires_ms: int,
+) -> Result:
+    """Send a call and wait for the first message about it.
+
+    Parameters
+    ----------
+    session : Session
+        Open session to the owner's node.
+    call : Call
+        Stream number and deadline are filled in here.
+    body : Body
+        Body of the request.
+    expires_ms : int
+        Deadline on this node's clock.
+    """
+    stream = session.start()
+    remaining_ms = expires_ms - clock.now_ms()
+    stamped = call._replace(
+        stream=stream.number,
+        # The deadline is on the owner's clock and at most one network delay
+        # early, so that a message that arrives late is refused there.
+        expires_ms=session.peer_clock_ms + remaining_ms,
+    )
+    stream.outflow.open(body.first)
+    is_done = False
+    try:
+        if not session.send(stamped, body.first):
+            is_done = True
+            stream.close()
+            return _unreachable(session, "the message was not sent")
+        reply = await _wait(stream, body, remaining_ms + LATE_ANSWER_MS)
+        is_done = reply is not None
+    finally:
+        if not is_done:
+            stream.cancel("deadline or caller gone")
+    if reply is None:
+        return MayHaveRun(
+            callers.Outcome.UNKNOWN,
+            "deadline",
+            "wait",
+            session.node_id,
+            None,
+            routing.Signal.FAILED,
+            None,
+        )
+    return _interpret(session, stream, reply)
+
+
+async def _wait(
+    stream: node_session.ClientStream, body: callers.Body, limit_ms: int
+) -> node_session.Reply | None:
+    reply: node_session.Reply | None = None
+    with anyio.move_on_after(max(0, limit_ms) / clock.MS_PER_S):
+        if body.is_complete:
+            return await stream.reply()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_send_rest, stream, body)
+                reply = await stream.reply()
+                tasks.cancel_scope.cancel()
+        except* Exception as group:
+            # The caller went away or sent too much; the interface for
+            # callers handles its own error types.
+            raise group.exceptions[0] from None
+    return reply
+
+
+async def _send_rest(
+    stream: node_session.ClientStream, body: callers.Body
+) -> None:
+    try:
+        # Nothing is read from the caller before the owner has admitted the
+        # call, so that a refused upload does not cross the network.
+        await stream.outflow.wait_credit()
+        async for part in body.rest():
+            await stream.outflow.write(part)
+        await stream.outflow.finish()
+    except streams.BodyError:
+        # The reply tells what became of the call.
+        return
+
+
+def _interpret(
+    session: node_session.Session,
+    stream: node_session.ClientStream,
+    reply: node_session.Reply,
+) -> Result:
+    message = reply.message
+    if isinstance(message, messages.Answer):
+        if message.last:
+            stream.close()
+        return Answered(message, reply.body, stream)
+    stream.close()
+    if isinstance(message, messages.Refused):
+        is_leaving = message.reason == "leaving"
+        return NotRun(
+            message.reason,
+            message.step,
+            session.node_id,
+            message.retry_after_ms,
+            message.moved,
+            routing.Signal.LEAVING if is_leaving else routing.Signal.REFUSED,
+            message.load,
+        )
+    if isinstance(message, messages.Failed):
+        return MayHaveRun(
+            message.outcome,
+            message.reason,
+            message.step,
+            message.peer or session.node_id,
+            message.allowance_used,
+            routing.Signal.FAILED,
+            message.load,
+        )
+    reason = getattr(message, "reason", "unexpected message")
+    return MayHaveRun(
+        callers.Outcome.UNKNOWN,
+        "owner_unreachable",
+        reason,
+        session.node_id,
+        None,
+        routing.Signal.UNREACHABLE,
+        None,
+    )
+
+
+def unreachable(session: node_session.Session) -> NotRun:
+    """Return the result for a session that could not be opened."""
+    return _unreachable(session, session.close_reason or "timeout")
+
+
+def _unreachable(session: node_session.Session, reason: str) -> NotRun:
+    return NotRun(
+        "node_unreachable",
+        reason,
+        session.node_id,
+        0,
+        "",
+        routing.Signal.UNREACHABLE,
+        None,
+    )
+
+
+async def rest_of(answered: Answered) -> AsyncIterator[bytes]:
+    """Yield what follows the first part of an answer.
+
+    Raises
+    ------
+    streams.BodyError
+        If the answer is cut.
+    """
+    is_done = False
+    try:
+        async for part in answered.stream.inflow.chunks():
+            yield part
+        is_done = True
+    finally:
+        if is_done:
+            answered.stream.close()
+        else:
+            answered.stream.cancel("answer not read to its end")
--- /dev/null
+++ b/src/clementinekeel/daemon/entry.py
@@ -0,0 +1,671 @@
+"""Entry side of a call: rules, choice of the endpoint, attempts, outcome."""
+
+import collections
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+import anyio
+
+from clementinekeel.callers import messages as callers
+from clementinekeel.callers import problems
+from clementinekeel.configuration import model
+from clementinekeel.daemon import attempt
+from clementinekeel.daemon import contexts
+from clementinekeel.daemon import directory
+from clementinekeel.daemon import plan as plans
+from clementinekeel.nodes import messages
+from clementinekeel.nodes import pool
+from clementinekeel.nodes import session as node_session
+from clementinekeel.outcomes import keys
+from clementinekeel.outcomes import messages as outcomes
+from clementinekeel.retries import budget
+from clementinekeel.retries import decisions
+from clementinekeel.retries import messages as retries
+from clementinekeel.routing import messages as routing
+from clementinekeel.routing import router as routers
+from clementinekeel.runtime import clock
+from clementinekeel.runtime import trail
+
+Outcome = outcomes.Outcome
+
+MAX_MOVES = 8
+"""Successor keys followed for one request; a chain is never longer than the
+allowance of the requests that made it."""
+MAX_UNREACHABLE = 5
+"""Nodes tried in vain before the caller is told."""
+RETRY_MS = 500
+"""Hint for callers when the owner of a key cannot be reached."""
+
+_STATUS = {
+    Outcome.REFUSED: 503,
+    Outcome.FAILED: 502,
+    Outcome.UNKNOWN: 504,
+    Outcome.COMPLETED: 200,
+}
+
+
+class Policies(NamedTuple):
+    """Registered names of the rules in use and related settings."""
+
+    retry: str
+    key_lifetime_ms: int
+
+
+class _Target(NamedTuple):
+    """Where the next attempt goes, and under which key."""
+
+    candidate: routing.Candidate
+    key: str
+
+
+class _Progress:
+    """What the attempts of one request have led to so far."""
+
+    def __init__(self, plan: plans.Plan) -> None:
+        self.plan = plan
+        self.key = plan.request.key
+        self.attempts = 0
+        self.moves = 0
+        self.unreachable = 0
+        self.exclude: set[tuple[str, int]] = set()
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running the request again does no harm."""
+        return self.plan.operation.idempotent
+
+    @property
+    def remaining_ms(self) -> int:
+        """Time until the caller stops waiting."""
+        return self.plan.expires_ms - clock.now_ms()
+
+
+class Entry:
+    """Runs the requests of callers; implements ``callers.app.EntryPoint``.
+
+    Parameters
+    ----------
+    configuration : Callable
+        Returns the configuration in force, or None.
+    fleet : directory.Directory
+        Endpoints and nodes.
+    router : routers.Router
+        Chooses endpoints.
+    sessions : pool.SessionPool
+        Sessions to other nodes.
+    issuer : keys.KeyIssuer
+        Issues and parses keys.
+    retry_budget : budget.RetryBudget
+        Bounds retries of this node.
+    served : contexts.Contexts
+        Requests that the backend server is serving.
+    policies : Policies
+        Rules in use.
+    decision_trail : trail.DecisionTrail
+        Remembers recent decisions for operators.
+    random_source : random.Random
+        Jitter.
+    """
+
+    def __init__(
+        self,
+        configuration: Callable[[], model.Configuration | None],
+        fleet: directory.Directory,
+        router: routers.Router,
+        sessions: pool.SessionPool,
+        issuer: keys.KeyIssuer,
+        retry_budget: budget.RetryBudget,
+        served: contexts.Contexts,
+        policies: Policies,
+        decision_trail: trail.DecisionTrail,
+        random_source: random.Random,
+    ) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._configuration = configuration
+        self._fleet = fleet
+        self._router = router
+        self._sessions = sessions
+        self._issuer = issuer
+        self._budget = retry_budget
+        self._served = served
+        self._policies = policies
+        self._trail = decision_trail
+        self._random = random_source
+        self._services: frozenset[str] = frozenset()
+        self._services_of: model.Configuration | None = None
+
+    async def call(
+        self, request: callers.CallerRequest
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        """Run a request of a caller."""
+        configuration = self._configuration()
+        plan = plans.make(
+            request,
+            configuration,
+            self._known_services(configuration),
+            self._served,
+            clock.now_ms(),
+        )
+        if isinstance(plan, callers.CallerProblem):
+            answer: callers.CallerAnswer | callers.CallerProblem = plan
+        else:
+            answer = await self._run_plan(plan)
+        reason = getattr(answer, "reason", "")
+        self.counts[str(answer.outcome)] += 1
+        self._trail.note(request.request_id, "entry", answer.outcome, reason)
+        return answer
+
+    async def issue_key(
+        self, service: str
+    ) -> callers.KeyGrant | callers.CallerProblem:
+        """Issue an idempotency key for a request to a service."""
+        if service not in self._known_services(self._configuration()):
+            return problems.refusal(
+                404, "unknown_service", "no configuration has such a service"
+            )
+        expires_ms = clock.now_ms() + attempt.CONNECT_TIMEOUT_MS
+        target = await self._new_target(service, 0, expires_ms, set())
+        if isinstance(target, callers.CallerProblem):
+            return target
+        return callers.KeyGrant(target.key, self._policies.key_lifetime_ms)
+
+    async def inquire(
+        self, key: str
+    ) -> callers.KeyState | callers.CallerProblem:
+        """Return the outcome of a key, following its successors."""
+        expires_ms = clock.now_ms() + 2 * attempt.CONNECT_TIMEOUT_MS
+        for _ in range(MAX_MOVES):
+            found = self._owner_of(key)
+            if isinstance(found, callers.CallerProblem):
+                return found
+            session = self._session(found.candidate)
+            if not await attempt.connect(session, expires_ms):
+                return _owner_unreachable(found)
+            record = await _inquire(session, key, expires_ms)
+            if record is None:
+                return _owner_unreachable(found)
+            if not record.moved:
+                return callers.KeyState(record.state, record.reason)
+            key = record.moved
+        return _too_many_moves(key)
+
+    async def _run_plan(
+        self, plan: plans.Plan
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        if plan.context is None:
+            return await self._attempt_all(_Progress(plan))
+        # The end of the request that caused this one cancels it.
+        answer: callers.CallerAnswer | callers.CallerProblem = (
+            callers.CallerProblem(
+                Outcome.UNKNOWN,
+                504,
+                "context_ended",
+                "the request that caused this call has ended",
+                "wait",
+                "backend server",
+                0,
+                "",
+            )
+        )
+        used: int | None = None
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    _cancel_at_end, plan.context, tasks.cancel_scope
+                )
+                answer = await self._attempt_all(_Progress(plan))
+                used = plan.allowance.used
+                tasks.cancel_scope.cancel()
+        except* Exception as group:
+            raise group.exceptions[0] from None
+        finally:
+            _return_draw(plan, used)
+        return answer
+
+    async def _attempt_all(
+        self, progress: _Progress
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        self._budget.on_first_attempt(progress.plan.request.service)
+        while True:
+            target = await self._next_target(progress)
+            if isinstance(target, callers.CallerProblem):
+                return target
+            result = await self._attempt(progress, target)
+            self._settle_allowance(progress, result)
+            answer = await self._conclude(progress, target, result)
+            if answer is not None:
+                return answer
+
+    async def _next_target(
+        self, progress: _Progress
+    ) -> _Target | callers.CallerProblem:
+        plan = progress.plan
+        if progress.is_idempotent:
+            choice = self._choose(
+                plan.request.service, plan.rank, progress.exclude
+            )
+            if isinstance(choice, routing.NoTarget):
+                return _no_target(choice)
+            return _Target(choice, "")
+        if not progress.key:
+            target = await self._new_target(
+                plan.request.service,
+                plan.rank,
+                plan.expires_ms,
+                progress.exclude,
+            )
+            if isinstance(target, _Target):
+                progress.key = target.key
+            return target
+        found = self._owner_of(progress.key)
+        if isinstance(found, callers.CallerProblem):
+            return await self._with_fresh_key(found, plan)
+        if found.candidate.service != plan.request.service:
+            return problems.refusal(
+                400, "bad_key", "the key was issued for another service"
+            )
+        return found
+
+    async def _with_fresh_key(
+        self, problem: callers.CallerProblem, plan: plans.Plan
+    ) -> callers.CallerProblem:
+        """Add a key that can be used instead of one no node issued."""
+        if problem.reason != "bad_key":
+            return problem
+        grant = await self.issue_key(plan.request.service)
+        if isinstance(grant, callers.KeyGrant):
+            return problem._replace(key=grant.key)
+        return problem
+
+    async def _new_target(
+        self,
+        service: str,
+        rank: int,
+        expires_ms: int,
+        exclude: set[tuple[str, int]],
+    ) -> _Target | callers.CallerProblem:
+        """Choose an endpoint that can be reached and issue a key for it."""
+        tried = set(exclude)
+        for _ in range(MAX_UNREACHABLE):
+            choice = self._choose(service, rank, tried)
+            if isinstance(choice, routing.NoTarget):
+                return _no_target(choice)
+            session = self._session(choice)
+            if await attempt.connect(session, expires_ms):
+                return _Target(choice, self._issue(choice, session))
+            self._observe(choice, attempt.unreachable(session), 0)
+            tried.add((choice.node_id, choice.incarnation))
+        return _no_target(routing.NoTarget("no_endpoint", RETRY_MS))
+
+    def _issue(
+        self, candidate: routing.Candidate, session: node_session.Session
+    ) -> str:
+        return self._issuer.issue(
+            candidate.service,
+            candidate.endpoint,
+            candidate.node_id,
+            candidate.incarnation,
+            session.peer_clock_ms + self._policies.key_lifetime_ms,
+        )
+
+    def _owner_of(self, key: str) -> _Target | callers.CallerProblem:
+        parsed = self._issuer.parse(key).value_or(None)
+        if parsed is None:
+            return problems.refusal(
+                400,
+                "bad_key",
+                "no node has issued this idempotency key; use the one in "
+                "this answer",
+            )
+        owner = self._fleet.owner(parsed)
+        if owner is None:
+            return callers.CallerProblem(
+                Outcome.UNKNOWN,
+                _STATUS[Outcome.UNKNOWN],
+                "owner_lost",
+                "the node that owned this key is gone",
+                "find owner",
+                parsed.node_id,
+                0,
+                key,
+            )
+        return _Target(owner, key)
+
+    async def _attempt(
+        self, progress: _Progress, target: _Target
+    ) -> attempt.Result:
+        plan = progress.plan
+        session = self._session(target.candidate)
+        if not await attempt.connect(session, plan.expires_ms):
+            result: attempt.Result = attempt.unreachable(session)
+            self._observe(target.candidate, result, 0)
+            return result
+        progress.attempts += 1
+        self.counts["attempts"] += 1
+        call = self._call_message(progress, target)
+        started_ms = clock.now_ms()
+        is_done = False
+        try:
+            result = await attempt.run(
+                session, call, plan.request.body, plan.expires_ms
+            )
+            is_done = True
+        finally:
+            if not is_done:
+                plan.allowance.on_lost()
+        self._observe(target.candidate, result, clock.now_ms() - started_ms)
+        return result
+
+    def _call_message(
+        self, progress: _Progress, target: _Target
+    ) -> messages.Call:
+        plan = progress.plan
+        request = plan.request
+        return messages.Call(
+            stream=0,
+            key=target.key,
+            successor=self._successor(progress, target),
+            service=request.service,
+            endpoint=target.candidate.endpoint,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            request_class=plan.request_class,
+            rank=plan.rank,
+            idempotent=progress.is_idempotent,
+            expires_ms=0,
+            allowance=plan.allowance.grant(),
+            request_id=request.request_id,
+            length=_body_length(request.body),
+            last=request.body.is_complete,
+        )
+
+    def _successor(self, progress: _Progress, target: _Target) -> str:
+        """Issue the key under which a refused request may run elsewhere."""
+        plan = progress.plan
+        service = plan.request.service
+        if progress.is_idempotent or plan.allowance.left < 1:
+            return ""
+        if self._budget.available(service) < 1:
+            return ""
+        here = (target.candidate.node_id, target.candidate.incarnation)
+        choice = self._choose(service, plan.rank, {*progress.exclude, here})
+        if isinstance(choice, routing.NoTarget):
+            return ""
+        session = self._session(choice)
+        # A key needs the other node's clock, so only nodes that this one
+        # already talks to can be successors.
+        if session.state is not node_session.State.OPEN:
+            return ""
+        return self._issue(choice, session)
+
+    def _settle_allowance(
+        self, progress: _Progress, result: attempt.Result
+    ) -> None:
+        allowance = progress.plan.allowance
+        if isinstance(result, attempt.Answered):
+            allowance.on_answer(result.answer.allowance_used)
+        elif isinstance(result, attempt.NotRun):
+            allowance.on_refused()
+        elif result.allowance_used is None:
+            allowance.on_lost()
+        else:
+            allowance.on_answer(result.allowance_used)
+
+    async def _conclude(
+        self, progress: _Progress, target: _Target, result: attempt.Result
+    ) -> callers.CallerAnswer | callers.CallerProblem | None:
+        """Return what the caller gets, or None before the next attempt."""
+        if isinstance(result, attempt.Answered):
+            if result.answer.outcome is not Outcome.FAILED:
+                return _caller_answer(result, target.key)
+        elif isinstance(result, attempt.NotRun):
+            if result.reason == "moved":
+                return _follow(progress, result)
+            if result.signal is routing.Signal.UNREACHABLE:
+                return _skip_unreachable(progress, target, result)
+        decision = self._decide(progress, result)
+        if isinstance(decision, retries.Stop):
+            return self._give_up(progress, target, result)
+        await self._prepare_retry(progress, target, result, decision)
+        return None
+
+    def _give_up(
+        self, progress: _Progress, target: _Target, result: attempt.Result
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        if progress.plan.context is not None:
+            progress.plan.context.pool.forfeit()
+        if isinstance(result, attempt.Answered):
+            return _caller_answer(result, target.key)
+        return _final_problem(progress, result)
+
+    async def _prepare_retry(
+        self,
+        progress: _Progress,
+        target: _Target,
+        result: attempt.Result,
+        decision: retries.RetryAfter,
+    ) -> None:
+        progress.plan.allowance.use()
+        self.counts["retries"] += 1
+        candidate = target.candidate
+        progress.exclude.add((candidate.node_id, candidate.incarnation))
+        await clock.sleep_ms(decision.delay_ms)
+        if isinstance(result, attempt.NotRun) and not progress.is_idempotent:
+            progress.key = result.moved
+
+    def _decide(
+        self, progress: _Progress, result: attempt.Result
+    ) -> retries.Decision:
+        plan = progress.plan
+        outcome, hint_ms, can_repeat = _view(progress, result)
+        if not (can_repeat and plan.request.body.is_repeatable):
+            return retries.Stop("not_repeatable")
+        return decisions.decide(
+            retries.Attempt(
+                service=plan.request.service,
+                outcome=outcome,
+                idempotent=progress.is_idempotent,
+                number=progress.attempts,
+                allowance=plan.allowance.left,
+                stopped=plan.allowance.stopped,
+                remaining_ms=progress.remaining_ms,
+                retry_after_ms=hint_ms,
+            ),
+            self._budget,
+            self._random,
+            self._policies.retry,
+        )
+
+    def _choose(
+        self, service: str, rank: int, exclude: set[tuple[str, int]]
+    ) -> routing.Candidate | routing.NoTarget:
+        self._router.update(service, self._fleet.candidates(service))
+        return self._router.choose(
+            service, rank, clock.now_ms(), frozenset(exclude)
+        )
+
+    def _observe(
+        self,
+        candidate: routing.Candidate,
+        result: attempt.Result,
+        latency_ms: float,
+    ) -> None:
+        if isinstance(result, attempt.Answered):
+            signal = routing.Signal.ANSWERED
+            load: messages.Load | None = result.answer.load
+        else:
+            signal, load = result.signal, result.load
+        load = load or messages.Load(0, 0.0, 0)
+        self._router.observe(
+            candidate,
+            routing.Observation(
+                signal, load.rank, load.load, load.retry_after_ms, latency_ms
+            ),
+            clock.now_ms(),
+        )
+
+    def _session(self, candidate: routing.Candidate) -> node_session.Session:
+        return self._sessions.get(
+            candidate.address, candidate.node_id, candidate.incarnation
+        )
+
+    def _known_services(
+        self, configuration: model.Configuration | None
+    ) -> frozenset[str]:
+        if configuration is not self._services_of:
+            self._services_of = configuration
+            services = (
+                configuration.inventory.services if configuration else ()
+            )
+            self._services = frozenset(item.name for item in services)
+        return self._services
+
+
+async def _cancel_at_end(
+    context: contexts.Context, scope: anyio.CancelScope
+) -> None:
+    await context.ended.wait()
+    scope.cancel()
+
+
+def _return_draw(plan: plans.Plan, used: int | None) -> None:
+    assert plan.context is not None
+    assert plan.draw is not None
+    if used is None:
+        plan.context.pool.lose(plan.draw)
+    else:
+        plan.context.pool.give_back(plan.draw, used)
+
+
+async def _inquire(
+    session: node_session.Session, key: str, expires_ms: int
+) -> messages.Record | None:
+    stream = session.start()
+    reply: node_session.Reply | None = None
+    try:
+        if session.send(messages.Inquire(stream.number, key)):
+            limit_ms = max(0, expires_ms - clock.now_ms())
+            with anyio.move_on_after(limit_ms / clock.MS_PER_S):
+                reply = await stream.reply()
+    finally:
+        stream.close()
+    if reply is None or not isinstance(reply.message, messages.Record):
+        return None
+    return reply.message
+
+
+def _body_length(body: callers.Body) -> int:
+    return len(body.first) if body.is_complete else body.length
+
+
+def _caller_answer(result: attempt.Answered, key: str) -> callers.CallerAnswer:
+    answer = result.answer
+    return callers.CallerAnswer(
+        answer.outcome,
+        answer.status,
+        answer.headers,
+        key,
+        result.body,
+        answer.length,
+        None if answer.last else attempt.rest_of(result),
+    )
+
+
+def _follow(
+    progress: _Progress, result: attempt.NotRun
+) -> callers.CallerProblem | None:
+    """Go on with the successor that an earlier attempt has left."""
+    progress.moves += 1
+    progress.key = result.moved
+    if progress.moves > MAX_MOVES:
+        return _too_many_moves(result.moved)
+    return None
+
+
+def _skip_unreachable(
+    progress: _Progress, target: _Target, result: attempt.NotRun
+) -> callers.CallerProblem | None:
+    """Choose another node instead of one that cannot be reached.
+
+    Nothing was sent, so this adds no load and uses no allowance.
+    """
+    candidate = target.candidate
+    progress.exclude.add((candidate.node_id, candidate.incarnation))
+    progress.unreachable += 1
+    if progress.plan.request.key or progress.moves:
+        # An earlier attempt under this key may have reached the owner.
+        return _owner_unreachable(target)
+    if progress.unreachable > MAX_UNREACHABLE:
+        return _final_problem(progress, result)
+    # No caller has this key and nothing was sent under it.
+    progress.key = ""
+    return None
+
+
+def _no_target(choice: routing.NoTarget) -> callers.CallerProblem:
+    details = {
+        "unknown_service": "no endpoint of the service is known",
+        "no_endpoint": "no endpoint of the service can be reached",
+        "overload": "all endpoints refuse requests of this class at present",
+    }
+    return problems.refusal(
+        503,
+        choice.reason,
+        details.get(choice.reason, choice.reason),
+        step="route",
+        peer="backend servers",
+        retry_after_ms=choice.retry_after_ms,
+    )
+
+
+def _owner_unreachable(target: _Target) -> callers.CallerProblem:
+    return callers.CallerProblem(
+        Outcome.UNKNOWN,
+        _STATUS[Outcome.UNKNOWN],
+        "owner_unreachable",
+        "the owner of the key cannot be reached; ask again with the same key",
+        "connect",
+        target.candidate.node_id,
+        RETRY_MS,
+        target.key,
+    )
+
+
+def _too_many_moves(key: str) -> callers.CallerProblem:
+    return callers.CallerProblem(
+        Outcome.UNKNOWN,
+        _STATUS[Outcome.UNKNOWN],
+        "too_many_moves",
+        "the request was moved too often; ask again with this key",
+        "follow",
+        "backend servers",
+        RETRY_MS,
+        key,
+    )
+
+
+def _final_problem(
+    progress: _Progress, result: attempt.NotRun | attempt.MayHaveRun
+) -> callers.CallerProblem:
+    if isinstance(result, attempt.NotRun):
+        outcome = Outcome.REFUSED
+        retry_after_ms = result.retry_after_ms
+        if result.moved:
+            # The successor was not tried, but another copy of the request
+            # may have followed the record to it.
+            outcome = Outcome.UNKNOWN
+    else:
+        outcome = result.outcome
+        retry_after_ms = RETRY_MS
+    return callers.CallerProblem(
+        outcome,
+        _STATUS[outcome],
+        result.reason,
+        f"{result.reason.replace('_', ' ')} ({result.step})",
+        result.step,
+        result.peer,
+        retry_after_ms,
+        progress.key,
+    )
--- /dev/null
+++ b/src/clementinekeel/daemon/plan.py
@@ -0,0 +1,140 @@
+"""What the rules say about a caller's request before its first attempt."""
+
+from typing import NamedTuple
+
+from clementinekeel.callers import messages as callers
+from clementinekeel.callers import problems
+from clementinekeel.configuration import classifier
+from clementinekeel.configuration import model
+from clementinekeel.daemon import contexts
+from clementinekeel.retries import allowance
+
+
+class Plan(NamedTuple):
+    """A request that may be attempted.
+
+    Attributes
+    ----------
+    expires_ms : int
+        Deadline on this node's clock.
+    context : Context or None
+        Request of the backend server that caused this one.
+    draw : Draw or None
+        Its part of that request's allowance.
+    allowance : CallAllowance
+        Extra attempts of this request.
+    """
+
+    request: callers.CallerRequest
+    operation: model.Operation
+    request_class: str
+    rank: int
+    expires_ms: int
+    context: contexts.Context | None
+    draw: allowance.Draw | None
+    allowance: allowance.CallAllowance
+
+
+def make(
+    request: callers.CallerRequest,
+    configuration: model.Configuration | None,
+    services: frozenset[str],
+    served: contexts.Contexts,
+    now_ms: int,
+) -> Plan | callers.CallerProblem:
+    """Return the plan of a request, or why it is refused.
+
+    Parameters
+    ----------
+    configuration : Configuration or None
+        Configuration in force, if there is one.
+    services : frozenset of str
+        Services of its inventory.
+    served : Contexts
+        Requests that the backend server is serving.
+    now_ms : int
+        Present time.
+    """
+    if configuration is None:
+        return problems.refusal(
+            503,
+            "no_configuration",
+            "the node has not received a configuration yet",
+            step="configure",
+            peer="platform",
+            retry_after_ms=1_000,
+        )
+    if request.service not in services:
+        return problems.refusal(
+            404, "unknown_service", "the inventory has no such service"
+        )
+    context = None
+    if request.is_onward and request.context:
+        context = served.find(request.context)
+        if context is None:
+            return problems.refusal(
+                409,
+                "context_ended",
+                "the request that caused this call has ended",
+            )
+    operation = classifier.classify(
+        configuration, request.service, request.method, request.path
+    )
+    chosen = _choose_class(request, operation, configuration.rules)
+    if isinstance(chosen, callers.CallerProblem):
+        return chosen
+    return _build(request, operation, chosen, context, configuration, now_ms)
+
+
+def _choose_class(
+    request: callers.CallerRequest,
+    operation: model.Operation,
+    rules: model.Rules,
+) -> model.RequestClass | callers.CallerProblem:
+    default = model.RequestClass(operation.request_class, operation.rank)
+    if not request.request_class:
+        return default
+    for item in rules.classes:
+        # Callers may lower the importance of a request, never raise it.
+        if item.name == request.request_class and item.rank >= default.rank:
+            return item
+    return problems.refusal(
+        400,
+        "bad_class",
+        "the class is unknown or more important than the rules allow",
+    )
+
+
+def _build(
+    request: callers.CallerRequest,
+    operation: model.Operation,
+    chosen: model.RequestClass,
+    context: contexts.Context | None,
+    configuration: model.Configuration,
+    now_ms: int,
+) -> Plan:
+    timeout_ms = operation.deadline_ms
+    if request.timeout_ms:
+        timeout_ms = min(timeout_ms, request.timeout_ms)
+    expires_ms = now_ms + timeout_ms
+    rank = chosen.rank
+    draw: allowance.Draw | None = None
+    extra = configuration.rules.retry_allowance
+    if context is not None:
+        expires_ms = min(expires_ms, context.expires_ms)
+        # A lookup that a booking waits for is as important as the booking.
+        rank = min(rank, context.rank)
+        draw = context.pool.draw()
+        extra = draw.amount
+    elif request.is_onward:
+        extra = 0
+    return Plan(
+        request,
+        operation,
+        chosen.name,
+        rank,
+        expires_ms,
+        context,
+        draw,
+        allowance.CallAllowance(extra),
+    )
--- /dev/null
+++ b/src/clementinekeel/nodes/session.py
@@ -0,0 +1,388 @@
+"""Client side of the connection to one other node.
+
+A session belongs to one incarnation of the other node. When it is lost, its
+socket is closed together with all messages that are still queued in it, and
+a new session starts with a new socket, so that no old message is delivered
+after a reconnect.
+"""
+
+import enum
+import random
+import struct
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+import zmq
+
+from clementinekeel.nodes import _socket
+from clementinekeel.nodes import codec
+from clementinekeel.nodes import drops
+from clementinekeel.nodes import messages
+from clementinekeel.nodes import streams
+from clementinekeel.runtime import clock
+
+HELLO_INTERVAL_MS = 250
+PING_INTERVAL_MS = 500
+"""Time of silence, with calls in flight, after which the peer is pinged."""
+IDLE_PING_INTERVAL_MS = 5_000
+TIMEOUT_MS = 2_000
+"""Time of silence, with calls in flight, after which a session is lost."""
+IDLE_TIMEOUT_MS = 12_000
+MAX_DRIFT_PER_MS = 0.001
+"""Allowance for different rates of two monotonic clocks."""
+NONCE_BITS = 63
+
+_MONITOR_EVENTS = (
+    zmq.EVENT_DISCONNECTED
+    | zmq.EVENT_CLOSED
+    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+)
+
+
+class State(enum.Enum):
+    """Stage of a session."""
+
+    CONNECTING = "connecting"
+    OPEN = "open"
+    CLOSED = "closed"
+
+
+class Lost(NamedTuple):
+    """The session ended before the call was answered.
+
+    Attributes
+    ----------
+    was_sent : bool
+        False if the call certainly never reached the other node.
+    """
+
+    reason: str
+    was_sent: bool
+
+
+class Reply(NamedTuple):
+    """First message of the other node about a call.
+
+    Attributes
+    ----------
+    message : NamedTuple
+        One of the messages of ``nodes.messages``, or ``Lost``.
+    body : bytes
+        First part of the body.
+    """
+
+    message: Any
+    body: bytes
+
+
+class ClientStream:
+    """A call in flight on a session."""
+
+    def __init__(self, session: "Session", number: int, sent_ms: int) -> None:
+        self.number = number
+        self.sent_ms = sent_ms
+        self.inflow = streams.Inflow(session.node_id, self._grant)
+        self.outflow = streams.Outflow(
+            number, session.node_id, session.send, credit=0
+        )
+        self._session = session
+        self._replied = anyio.Event()
+        self._reply = Reply(Lost("no reply", True), b"")
+
+    @property
+    def has_reply(self) -> bool:
+        """Whether the first message about the call has arrived."""
+        return self._replied.is_set()
+
+    async def reply(self) -> Reply:
+        """Wait for the first message about the call."""
+        await self._replied.wait()
+        return self._reply
+
+    def cancel(self, reason: str) -> None:
+        """Tell the other node that the call is no longer waited for."""
+        self._session.send(messages.Cancel(self.number, reason))
+        self.close()
+
+    def close(self) -> None:
+        """Forget the call; later messages about it are dropped."""
+        self._session.forget(self.number)
+
+    def on_reply(self, message: Any, body: bytes) -> None:
+        """Take the first message about the call."""
+        if self._replied.is_set():
+            return
+        self._reply = Reply(message, body)
+        if isinstance(message, messages.Answer):
+            self.inflow.open(body, message.last)
+        elif isinstance(message, messages.ConfigurationReply):
+            self.inflow.open(b"", is_last=False)
+        else:
+            self.outflow.fail("call ended")
+        self._replied.set()
+
+    def on_lost(self, reason: str) -> None:
+        """End the call, since the session is lost."""
+        self.inflow.fail(reason)
+        self.outflow.fail(reason)
+        self.on_reply(Lost(reason, True), b"")
+
+    def _grant(self, chunks: int) -> None:
+        self._session.send(messages.Credit(self.number, chunks))
+
+
+class Session:
+    """Connection to one incarnation of another node.
+
+    The task in ``run`` owns the socket.
+
+    Parameters
+    ----------
+    context : zmq.Context
+        Context of the process.
+    message_codec : codec.Codec
+        Encodes and checks messages.
+    address : str
+        ``ip:port`` of the other node.
+    node_id : str
+        Expected id of the other node.
+    incarnation : int
+        Expected incarnation of the other node.
+    drop_log : drops.DropLog
+        Counts messages that are dropped.
+    """
+
+    def __init__(
+        self,
+        context: zmq.Context[Any],
+        message_codec: codec.Codec,
+        address: str,
+        node_id: str,
+        incarnation: int,
+        drop_log: drops.DropLog,
+    ) -> None:
+        self.address = address
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.last_used_ms = clock.now_ms()
+        self._codec = message_codec
+        self._drops = drop_log
+        self._socket = _socket.MessageSocket(
+            context, zmq.DEALER, self._on_frames
+        )
+        self._monitor = self._socket.monitor(_MONITOR_EVENTS)
+        self._state = State.CONNECTING
+        self._state_changed = anyio.Event()
+        self._close_reason = ""
+        self._nonce = random.getrandbits(NONCE_BITS)
+        self._number = 0
+        self._sequence = 0
+        self._peer_sequence = -1
+        self._streams: dict[int, ClientStream] = {}
+        self._next_stream = 1
+        self._last_heard_ms = clock.now_ms()
+        self._last_ping_ms = 0
+        self._clock_offset_ms = 0.0
+        self._clock_sample_ms = 0
+
+    @property
+    def state(self) -> State:
+        """Stage of the session."""
+        return self._state
+
+    @property
+    def close_reason(self) -> str:
+        """Why the session was closed, or empty."""
+        return self._close_reason
+
+    @property
+    def in_flight(self) -> int:
+        """Number of calls without an end."""
+        return len(self._streams)
+
+    @property
+    def peer_clock_ms(self) -> int:
+        """Lower bound of the other node's clock at this moment."""
+        now = clock.now_ms()
+        drift = (now - self._clock_sample_ms) * MAX_DRIFT_PER_MS
+        return int(now + self._clock_offset_ms - drift)
+
+    async def run(self) -> None:
+        """Open the session and keep it until it is lost or closed."""
+        self._socket.connect(self.address)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_connection)
+                tasks.start_soon(self._keep_alive, tasks)
+                await self._socket.run()
+                tasks.cancel_scope.cancel()
+        except anyio.ClosedResourceError:
+            pass
+        finally:
+            self.close("closed")
+
+    async def wait_open(self) -> bool:
+        """Wait until the session is open or closed; true if it is open."""
+        while self._state is State.CONNECTING:
+            await self._state_changed.wait()
+        return self._state is State.OPEN
+
+    def start(self) -> ClientStream:
+        """Create a stream for a call that is sent next."""
+        now = clock.now_ms()
+        stream = ClientStream(self, self._next_stream, now)
+        self._next_stream += 1
+        if not self._streams:
+            # Silence counts from here: an idle session is rarely pinged.
+            self._last_heard_ms = max(
+                self._last_heard_ms, now - PING_INTERVAL_MS
+            )
+        self._streams[stream.number] = stream
+        self.last_used_ms = now
+        if self._state is State.CLOSED:
+            stream.on_lost(self._close_reason)
+        return stream
+
+    def forget(self, number: int) -> None:
+        """Drop a stream."""
+        self._streams.pop(number, None)
+        self.last_used_ms = clock.now_ms()
+
+    def send(self, payload: Any, body: bytes = b"") -> bool:
+        """Send a message.
+
+        Returns
+        -------
+        bool
+            False if it was certainly not sent.
+        """
+        if self._state is State.CLOSED:
+            return False
+        self._sequence += 1
+        frames = self._codec.encode(
+            payload, body, self._number, self._sequence, clock.now_ms()
+        )
+        return self._socket.send(frames)
+
+    def close(self, reason: str) -> None:
+        """Close the socket, drop queued messages and end all calls."""
+        if self._state is State.CLOSED:
+            return
+        self._state = State.CLOSED
+        self._close_reason = reason
+        self._socket.close()
+        for stream in list(self._streams.values()):
+            stream.on_lost(reason)
+        self._streams.clear()
+        self._state_changed.set()
+
+    async def _keep_alive(self, tasks: anyio.abc.TaskGroup) -> None:
+        while self._state is not State.CLOSED:
+            self._tick(clock.now_ms())
+            await clock.sleep_ms(HELLO_INTERVAL_MS)
+        tasks.cancel_scope.cancel()
+
+    def _tick(self, now: int) -> None:
+        silence = now - self._last_heard_ms
+        limit = TIMEOUT_MS
+        if self._state is State.OPEN and not self._streams:
+            limit = IDLE_TIMEOUT_MS
+        if silence > limit:
+            self.close("timeout")
+        elif self._state is State.CONNECTING:
+            self.send(messages.Hello(self._nonce))
+        elif self._needs_ping(now, silence):
+            self._last_ping_ms = now
+            self.send(messages.Ping())
+
+    def _needs_ping(self, now: int, silence: int) -> bool:
+        interval = IDLE_PING_INTERVAL_MS
+        if self._streams:
+            interval = PING_INTERVAL_MS
+        return min(silence, now - self._last_ping_ms) >= interval
+
+    async def _watch_connection(self) -> None:
+        descriptor = int(self._monitor.getsockopt(zmq.FD))
+        while self._state is not State.CLOSED:
+            self._read_connection_events()
+            await anyio.wait_readable(descriptor)
+
+    def _read_connection_events(self) -> None:
+        while self._state is not State.CLOSED:
+            try:
+                frames = self._monitor.recv_multipart(zmq.NOBLOCK)
+            except zmq.ZMQError:
+                return
+            event, _ = struct.unpack("=HI", frames[0])
+            if event & _MONITOR_EVENTS:
+                self.close("connection lost")
+
+    def _on_frames(self, frames: list[bytes]) -> None:
+        try:
+            message = self._codec.decode(frames, self.node_id)
+        except codec.CodecError as error:
+            self._drops.drop(self.node_id, error.reason)
+            return
+        envelope = message.envelope
+        if envelope.incarnation != self.incarnation:
+            self.close("other incarnation")
+            return
+        if not self._is_current(envelope, message.payload):
+            self._drops.drop(self.node_id, "stale message")
+            return
+        self._peer_sequence = envelope.sequence
+        self._last_heard_ms = clock.now_ms()
+        self._note_peer_clock(envelope.clock_ms)
+        self._dispatch(message)
+
+    def _is_current(self, envelope: messages.Envelope, payload: Any) -> bool:
+        if envelope.sequence <= self._peer_sequence:
+            return False
+        if isinstance(payload, messages.Welcome):
+            return payload.nonce == self._nonce
+        return envelope.session == self._number and self._number != 0
+
+    def _note_peer_clock(self, peer_clock_ms: int) -> None:
+        # The largest offset seen belongs to the least delayed message. It
+        # fades so that clocks with different rates cannot build up an error.
+        now = clock.now_ms()
+        offset = float(peer_clock_ms - now)
+        faded = self._clock_offset_ms - MAX_DRIFT_PER_MS * (
+            now - self._clock_sample_ms
+        )
+        is_first = self._clock_sample_ms == 0
+        self._clock_offset_ms = offset if is_first else max(offset, faded)
+        self._clock_sample_ms = now
+
+    def _dispatch(self, message: codec.Message) -> None:
+        payload = message.payload
+        if isinstance(payload, messages.Welcome):
+            self._on_welcome(payload)
+        elif isinstance(payload, messages.Pong):
+            pass
+        elif isinstance(payload, messages.Chunk):
+            self._on_chunk(payload, message.body)
+        elif isinstance(payload, messages.Credit):
+            self._on_credit(payload)
+        else:
+            stream = self._streams.get(getattr(payload, "stream", 0))
+            if stream is not None:
+                stream.on_reply(payload, message.body)
+
+    def _on_welcome(self, welcome: messages.Welcome) -> None:
+        if self._state is State.CONNECTING:
+            self._number = welcome.session
+            self._state = State.OPEN
+            self._state_changed.set()
+
+    def _on_chunk(self, chunk: messages.Chunk, body: bytes) -> None:
+        stream = self._streams.get(chunk.stream)
+        if stream is not None:
+            stream.inflow.on_chunk(chunk, body)
+
+    def _on_credit(self, credit: messages.Credit) -> None:
+        stream = self._streams.get(credit.stream)
+        if stream is not None:
+            stream.outflow.on_credit(credit)
--- a/src/clementinekeel/nodes/streams.py
+++ b/src/clementinekeel/nodes/streams.py
@@ -169,6 +169,20 @@
             self._error = BodyError("send body", self._peer, reason)
             self._changed.set()
 
+    async def wait_credit(self) -> None:
+        """Wait until a chunk may be sent.
+
+        Raises
+        ------
+        BodyError
+            If the receiver is gone or has failed the stream.
+        """
+        while self._credit < 1 and self._error is None:
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        if self._error is not None:
+            raise self._error
+
     async def write(self, data: bytes) -> None:
         """Send a part of the body, waiting for credit.
 
@@ -186,9 +200,8 @@
 
     async def _write_chunk(self, data: bytes, is_last: bool) -> None:
         # The last chunk is empty and needs no credit.
-        while self._credit < 1 and not is_last and self._error is None:
-            self._changed = anyio.Event()
-            await self._changed.wait()
+        if not is_last:
+            await self.wait_credit()
         if self._error is not None:
             raise self._error
         self._digest.update(data)
