--- /dev/null
+++ b/src/clementinekeel/membership/directory.py
@@ -0,0 +1,263 @@
+"""Rules by which records and notices change a node's view."""
+
+from collections.abc import Iterable
+import random as random_module
+from typing import Any
+
+from clementinekeel.membership import _packing
+from clementinekeel.membership import broadcasts
+from clementinekeel.membership import detector as detector_module
+from clementinekeel.membership import view as view_module
+from clementinekeel.membership.messages import MAX_PIGGYBACKED
+from clementinekeel.membership.messages import MAX_RECORD_BYTES
+from clementinekeel.membership.messages import no_effects
+from clementinekeel.membership.messages import Notice
+from clementinekeel.membership.messages import Piggyback
+from clementinekeel.membership.messages import Status
+from clementinekeel.membership.records import MemberRecord
+from clementinekeel.membership.records import MemberState
+from clementinekeel.runtime import invariants
+
+
+class Directory:
+    """The view, what is known against its members, and the own record.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        First record of the node itself.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        random: random_module.Random,
+        now_ms: int,
+    ) -> None:
+        if _packing.size_of(own) > MAX_RECORD_BYTES:
+            raise ValueError("the own record is too large")
+        self._own = own
+        self.own_key = own.key
+        self.now_ms = now_ms
+        self.effects = no_effects()
+        self.view = view_module.View()
+        self.detector = detector_module.Detector(random)
+        self._broadcasts = broadcasts.Broadcasts()
+        self.newest = (own.configuration_version, own.address)
+        self.view.apply(self.own_key, own, now_ms)
+        self._broadcasts.add(self.own_key, own)
+
+    @property
+    def own(self) -> MemberRecord:
+        """The node's own record."""
+        return self._own
+
+    @property
+    def other_keys(self) -> list[int]:
+        """Other members of the own zone."""
+        keys = self.view.keys(self._own.zone)
+        keys.remove(self.own_key)
+        return keys
+
+    @property
+    def other_count(self) -> int:
+        """Number of other members of the own zone."""
+        return self.view.count(self._own.zone) - 1
+
+    def publish(self, **changes: Any) -> None:
+        """Change the own record and raise its version."""
+        changes.setdefault("version", self._own.version + 1)
+        own = self._own._replace(**changes)
+        if _packing.size_of(own) > MAX_RECORD_BYTES:
+            raise ValueError("the own record is too large")
+        invariants.check(own.version > self._own.version, "own_version_grows")
+        self._own = own
+        # The own record stays in the view after leaving, so that a digest
+        # compares like with like until the process ends.
+        if own.state is not MemberState.LEFT:
+            self.view.apply(self.own_key, own, self.now_ms)
+        self._broadcasts.add(self.own_key, own)
+        self.effects.changed.append(own)
+
+    def note_configuration(self, version: int, address: str) -> None:
+        """Remember who has the newest configuration."""
+        if version >= self.newest[0]:
+            self.newest = (version, address)
+
+    def use_configuration(self, version: int) -> None:
+        """Change the own configuration version; published later."""
+        invariants.check(
+            version >= self._own.configuration_version,
+            "configuration_version_grows",
+        )
+        self._own = self._own._replace(configuration_version=version)
+        self.note_configuration(version, self._own.address)
+
+    def apply_all(
+        self, records: Iterable[MemberRecord], is_spread: bool = True
+    ) -> None:
+        """Take records; spread those that are news."""
+        for record in records:
+            self.apply(record, is_spread)
+
+    def apply(self, record: MemberRecord, is_spread: bool = True) -> None:
+        """Take a record; spread it if it is news."""
+        key = record.key
+        if key == self.own_key:
+            self._on_own_version(record.version)
+            return
+        if _packing.size_of(record) > MAX_RECORD_BYTES:
+            return
+        applied = self.view.apply(key, record, self.now_ms)
+        if applied.change is view_module.Change.NONE:
+            return
+        self.detector.clear(key)
+        if is_spread:
+            self._broadcasts.add(key, record)
+        if applied.change is view_module.Change.REMOVED:
+            self._report_removed(applied.record)
+        elif applied.change is view_module.Change.JOINED:
+            self.effects.joined.append(record)
+            self._probe_predecessor(key, record)
+        else:
+            self.effects.changed.append(record)
+            self._probe_predecessor(key, record)
+
+    def apply_notices(self, notices: Iterable[Notice]) -> None:
+        """Take suspicions and removals."""
+        for notice in notices:
+            self._apply_notice(notice)
+
+    def suspect(
+        self, key: int, version: int, witnesses: tuple[int, ...]
+    ) -> None:
+        """Start or confirm the suspicion of a member of the own zone."""
+        is_news = self.detector.suspect(key, version, witnesses, self.now_ms)
+        if is_news:
+            known = self.detector.suspicions[key]
+            self._broadcasts.add(
+                key,
+                Notice(key, known.version, Status.SUSPECT, known.witnesses),
+            )
+
+    def remove(self, notice: Notice) -> None:
+        """Remove a member and spread the notice."""
+        record = self.view.get(notice.key)
+        if record is not None and record.zone == self._own.zone:
+            invariants.check(
+                self.is_removable(notice, record),
+                "last_endpoint_needs_two_witnesses",
+                node_id=record.node_id,
+            )
+        applied = self.view.remove(notice, self.now_ms)
+        if applied.change is view_module.Change.REMOVED:
+            self.detector.clear(notice.key)
+            self._broadcasts.add(notice.key, notice)
+            self._report_removed(applied.record)
+
+    def is_removable(self, notice: Notice, record: MemberRecord) -> bool:
+        """Tell whether the evidence is enough to remove a member."""
+        return (
+            notice.status is not Status.GONE
+            or len(notice.witnesses) >= detector_module.MAX_WITNESSES
+            or not self.is_last_endpoint(notice.key, record)
+        )
+
+    def is_last_endpoint(self, key: int, record: MemberRecord) -> bool:
+        """Tell whether a service has no other endpoint without suspicion."""
+        if not record.service or record.state is not MemberState.READY:
+            return False
+        return not any(
+            other.state is MemberState.READY
+            and other_key != key
+            and other_key not in self.detector.suspicions
+            for other_key, other in self.view.service_members(record.service)
+        )
+
+    def notice_about(self, key: int, version: int) -> tuple[Notice, ...]:
+        """Return what a member should know so that it can refute it."""
+        removed = self.view.removals.find(key, version)
+        if removed is not None:
+            return (removed,)
+        suspicion = self.detector.suspicions.get(key)
+        if suspicion is None or suspicion.version < version:
+            return ()
+        return (
+            Notice(
+                key, suspicion.version, Status.SUSPECT, suspicion.witnesses
+            ),
+        )
+
+    def piggyback(
+        self, used_bytes: int, notices: tuple[Notice, ...] = ()
+    ) -> Piggyback:
+        """Return the changes that go with a message.
+
+        Parameters
+        ----------
+        used_bytes : int
+            Size of the message without them.
+        notices : tuple of Notice
+            What the receiver must learn in any case.
+        """
+        version, address = self.newest
+        used_bytes += len(address) + sum(map(_packing.size_of, notices))
+        records, others = self._broadcasts.take(
+            used_bytes, len(notices), len(self.view)
+        )
+        return Piggyback(records, notices + others, version, address)
+
+    def apply_piggyback(self, piggyback: Piggyback) -> None:
+        """Take the changes that came with a message."""
+        self.note_configuration(
+            piggyback.configuration_version, piggyback.configuration_address
+        )
+        self.apply_all(piggyback.records[:MAX_PIGGYBACKED])
+        self.apply_notices(piggyback.notices[:MAX_PIGGYBACKED])
+
+    def _on_own_version(self, version: int) -> None:
+        if version > self._own.version:
+            self.publish(version=version + 1)
+
+    def _apply_notice(self, notice: Notice) -> None:
+        if notice.key == self.own_key:
+            self._refute(notice)
+            return
+        record = self.view.get(notice.key)
+        if record is None:
+            if notice.status is not Status.SUSPECT:
+                self.view.remove(notice, self.now_ms)
+            return
+        if record.version > notice.version:
+            return
+        is_own_zone = record.zone == self._own.zone
+        if notice.status is Status.SUSPECT:
+            if is_own_zone:
+                self.suspect(notice.key, notice.version, notice.witnesses)
+        elif is_own_zone and not self.is_removable(notice, record):
+            self.suspect(notice.key, notice.version, notice.witnesses)
+        else:
+            self.remove(notice)
+
+    def _refute(self, notice: Notice) -> None:
+        if self._own.state is MemberState.LEFT:
+            return
+        if notice.version >= self._own.version:
+            self.publish(version=notice.version + 1)
+
+    def _probe_predecessor(self, key: int, record: MemberRecord) -> None:
+        # A process that was replaced at its address is found by the next
+        # probe and not only when its turn comes.
+        if not record.service:
+            return
+        for other_key, other in self.view.service_members(record.service):
+            if (
+                other_key not in (key, self.own_key)
+                and other.address == record.address
+                and other.zone == self._own.zone
+            ):
+                self.detector.probe_soon(other_key)
+
+    def _report_removed(self, record: MemberRecord | None) -> None:
+        if record is not None:
+            self.effects.removed.append(record)
--- /dev/null
+++ b/src/clementinekeel/membership/exchange.py
@@ -0,0 +1,196 @@
+"""Anti-entropy: two nodes find and exchange the differences of their views.
+
+A digest holds one hash a zone. If they differ, the receiver answers with
+the hashes of the zone's buckets, the first node with the versions in some
+differing ranges, and the receiver with its newer records and the keys that it
+lacks. Each step is bounded, so the views of two large halves that meet again
+converge over several exchanges and not in one burst.
+"""
+
+from collections.abc import Iterable, Iterator
+import random as random_module
+import struct
+from typing import TypeVar
+
+from clementinekeel.membership import _packing
+from clementinekeel.membership import limits
+from clementinekeel.membership import records as records_module
+from clementinekeel.membership import view as view_module
+from clementinekeel.membership.messages import Delta
+from clementinekeel.membership.messages import Digest
+from clementinekeel.membership.messages import MAX_PAYLOAD_BYTES
+from clementinekeel.membership.messages import Notice
+from clementinekeel.membership.messages import Outgoing
+from clementinekeel.membership.records import MemberRecord
+
+MAX_DIGEST_ZONES = 16
+ZONES_PER_EXCHANGE = 3
+RANGES_PER_EXCHANGE = 16
+MAX_VERSIONS = 60
+"""Pairs of 16 bytes that fit one message."""
+MAX_WANTED = 64
+DELTAS_PER_S = 48
+"""About 56 KB/s while views differ; nothing while they agree."""
+HEAD_BYTES = 100
+_VERSION = struct.Struct(">QQ")
+_HASHES = struct.Struct(f">{view_module.BUCKETS}Q")
+_ALL_KEYS = 1 << records_module.KEY_BITS
+
+T = TypeVar("T")
+
+
+class Exchange:
+    """Builds and answers digests and deltas from a view."""
+
+    def __init__(
+        self,
+        view: view_module.View,
+        random: random_module.Random,
+        now_ms: int,
+    ) -> None:
+        self._view = view
+        self._random = random
+        self._limit = limits.TokenBucket(DELTAS_PER_S, DELTAS_PER_S, now_ms)
+
+    def digest(
+        self, sender: MemberRecord, unreachable: tuple[str, ...]
+    ) -> Digest:
+        """Return the first step of an exchange."""
+        zones = self._view.zones
+        if len(zones) > MAX_DIGEST_ZONES:
+            zones = self._random.sample(zones, MAX_DIGEST_ZONES)
+        hashes = tuple((zone, self._view.zone_hash(zone)) for zone in zones)
+        return Digest(sender, hashes, unreachable, "", b"")
+
+    def on_zones(
+        self, address: str, digest: Digest, sender: MemberRecord
+    ) -> Iterator[Outgoing]:
+        """Answer the hashes of zones with those of buckets."""
+        theirs = dict(digest.zones)
+        names = set(theirs)
+        if len(theirs) < MAX_DIGEST_ZONES:
+            names.update(self._view.zones)
+        differing = sorted(
+            name
+            for name in names
+            if theirs.get(name, 0) != self._view.zone_hash(name)
+        )
+        if len(differing) > ZONES_PER_EXCHANGE:
+            differing = self._random.sample(differing, ZONES_PER_EXCHANGE)
+        for zone in differing:
+            buckets = _HASHES.pack(*self._view.bucket_hashes(zone))
+            yield Outgoing(address, Digest(sender, (), (), zone, buckets))
+
+    def on_buckets(
+        self, address: str, digest: Digest, now_ms: int
+    ) -> Iterator[Outgoing]:
+        """Answer the hashes of buckets with versions in differing ranges."""
+        if len(digest.buckets) != _HASHES.size:
+            return
+        theirs = _HASHES.unpack(digest.buckets)
+        ours = self._view.bucket_hashes(digest.zone)
+        differing = [
+            index
+            for index in range(view_module.BUCKETS)
+            if theirs[index] != ours[index]
+        ]
+        if len(differing) > RANGES_PER_EXCHANGE:
+            differing = self._random.sample(differing, RANGES_PER_EXCHANGE)
+        for index in differing:
+            if not self._limit.take(now_ms):
+                return
+            yield Outgoing(address, self._versions(digest.zone, index))
+
+    def on_delta(
+        self, address: str, delta: Delta, now_ms: int
+    ) -> Iterator[Outgoing]:
+        """Answer the versions and the wanted keys of a delta."""
+        records = [
+            record
+            for key in delta.wanted[:MAX_WANTED]
+            if (record := self._view.get(key)) is not None
+        ]
+        notices: list[Notice] = []
+        wanted: list[int] = []
+        if delta.high > delta.low:
+            self._compare(delta, records, notices, wanted)
+        for answer in _split(records, notices, wanted):
+            if not self._limit.take(now_ms):
+                return
+            yield Outgoing(address, answer)
+
+    def _versions(self, zone: str, bucket: int) -> Delta:
+        low = bucket << view_module.BUCKET_SHIFT
+        high = (bucket + 1) << view_module.BUCKET_SHIFT
+        keys = self._view.range_keys(zone, low, high)
+        if len(keys) > MAX_VERSIONS:
+            # A random part each time, so that each part has its turn.
+            start = self._random.randrange(0, len(keys), MAX_VERSIONS)
+            low = keys[start] if start else low
+            if start + MAX_VERSIONS < len(keys):
+                high = keys[start + MAX_VERSIONS]
+            keys = keys[start : start + MAX_VERSIONS]
+        versions = b"".join(
+            _VERSION.pack(key, record.version)
+            for key in keys
+            if (record := self._view.get(key)) is not None
+        )
+        return Delta(zone, low, high, versions, (), (), ())
+
+    def _compare(
+        self,
+        delta: Delta,
+        records: list[MemberRecord],
+        notices: list[Notice],
+        wanted: list[int],
+    ) -> None:
+        if len(delta.versions) % _VERSION.size:
+            return
+        low, high = max(0, delta.low), min(_ALL_KEYS, delta.high)
+        theirs = dict(_VERSION.iter_unpack(delta.versions))
+        for key in self._view.range_keys(delta.zone, low, high):
+            record = self._view.get(key)
+            if record is None:
+                continue
+            their_version = theirs.pop(key, -1)
+            if record.version > their_version:
+                records.append(record)
+            elif record.version < their_version:
+                wanted.append(key)
+        for key, version in theirs.items():
+            removed = self._view.removals.find(key, version)
+            if removed is not None:
+                notices.append(removed)
+            elif key not in self._view:
+                wanted.append(key)
+
+
+def _split(
+    records: list[MemberRecord],
+    notices: list[Notice],
+    wanted: list[int],
+) -> Iterator[Delta]:
+    """Yield deltas that each fit one datagram."""
+    room = MAX_PAYLOAD_BYTES - HEAD_BYTES
+    for part in fitting(records, room):
+        yield Delta("", 0, 0, b"", tuple(part), (), ())
+    for some in fitting(notices, room):
+        yield Delta("", 0, 0, b"", (), tuple(some), ())
+    for start in range(0, len(wanted), MAX_WANTED):
+        keys = tuple(wanted[start : start + MAX_WANTED])
+        yield Delta("", 0, 0, b"", (), (), keys)
+
+
+def fitting(items: Iterable[T], room: int) -> Iterator[list[T]]:
+    """Yield the items in parts of at most ``room`` bytes."""
+    part: list[T] = []
+    used = 0
+    for item in items:
+        size = _packing.size_of(item)
+        if part and used + size > room:
+            yield part
+            part, used = [], 0
+        part.append(item)
+        used += size
+    if part:
+        yield part
--- /dev/null
+++ b/src/clementinekeel/membership/joining.py
@@ -0,0 +1,118 @@
+"""Entry points, back-off of joins, and whether the fleet has answered."""
+
+from collections.abc import Iterable
+import random as random_module
+
+FIRST_DELAY_MS = 500
+MAX_DELAY_MS = 10_000
+"""Joins of 3,000 nodes that start at once are spread over this time."""
+MAX_ENTRY_POINTS = 256
+ANSWERED_SHARE = 1 / 3
+
+
+class Joining:
+    """When to send the next join, and to whom.
+
+    Parameters
+    ----------
+    own_address : str
+        Never asked.
+    seeds : iterable of str
+        Entry points from the settings.
+    """
+
+    def __init__(
+        self,
+        own_address: str,
+        seeds: Iterable[str],
+        random: random_module.Random,
+        now_ms: int,
+    ) -> None:
+        self._own_address = own_address
+        self._random = random
+        self._entry_points: dict[str, None] = {}
+        self._attempts = 0
+        self._next_ms = now_ms
+        self.add(seeds, now_ms)
+
+    @property
+    def entry_points(self) -> list[str]:
+        """Addresses that may be asked."""
+        return list(self._entry_points)
+
+    def add(self, addresses: Iterable[str], now_ms: int) -> None:
+        """Add entry points; the oldest are dropped when there are too many."""
+        for address in addresses:
+            if address == self._own_address or address in self._entry_points:
+                continue
+            self._entry_points[address] = None
+            self.restart(now_ms)
+            if len(self._entry_points) > MAX_ENTRY_POINTS:
+                del self._entry_points[next(iter(self._entry_points))]
+
+    def restart(self, now_ms: int) -> None:
+        """Begin again with the shortest delay."""
+        self._attempts = 0
+        self._next_ms = now_ms + self._delay_ms()
+
+    def next_address(self, now_ms: int, extra: list[str]) -> str | None:
+        """Return whom to ask now, if anyone.
+
+        Parameters
+        ----------
+        extra : list of str
+            Further addresses, for example of known relays.
+        """
+        if now_ms < self._next_ms:
+            return None
+        self._attempts += 1
+        self._next_ms = now_ms + self._delay_ms()
+        addresses = [
+            address
+            for address in [*self._entry_points, *extra]
+            if address != self._own_address
+        ]
+        return self._random.choice(addresses) if addresses else None
+
+    def _delay_ms(self) -> int:
+        # Full jitter: nodes that start together do not ask together.
+        bound = min(MAX_DELAY_MS, FIRST_DELAY_MS << min(self._attempts, 16))
+        return self._random.randint(1, bound)
+
+
+class Confirmation:
+    """Whether enough of the fleet has answered since a start or a pause.
+
+    A node that was removed while it was paused learns so from the first
+    acks; until then it does not call itself ready.
+    """
+
+    def __init__(self) -> None:
+        self._answered: set[int] = set()
+        self.is_complete = False
+
+    def reset(self) -> None:
+        """Require new answers."""
+        self._answered.clear()
+        self.is_complete = False
+
+    def answered(self, key: int, is_relay: bool, known_members: int) -> None:
+        """Count an answer of a member.
+
+        Parameters
+        ----------
+        known_members : int
+            Other members that the node knows.
+        """
+        if self.is_complete:
+            return
+        self._answered.add(key)
+        self.is_complete = (
+            is_relay or len(self._answered) >= known_members * ANSWERED_SHARE
+        )
+        if self.is_complete:
+            self._answered.clear()
+
+    def skip(self) -> None:
+        """Require no answer, because there is nobody to ask."""
+        self.is_complete = True
--- /dev/null
+++ b/src/clementinekeel/membership/membership.py
@@ -0,0 +1,638 @@
+"""Membership of one node: messages and time in, messages and changes out."""
+
+from collections.abc import Iterable, Sequence
+import random as random_module
+from typing import Any
+
+from clementinekeel.membership import _packing
+from clementinekeel.membership import detector as detector_module
+from clementinekeel.membership import directory
+from clementinekeel.membership import exchange
+from clementinekeel.membership import joining
+from clementinekeel.membership import limits
+from clementinekeel.membership import zones as zones_module
+from clementinekeel.membership.messages import Delta
+from clementinekeel.membership.messages import Digest
+from clementinekeel.membership.messages import Effects
+from clementinekeel.membership.messages import Join
+from clementinekeel.membership.messages import MAX_PAYLOAD_BYTES
+from clementinekeel.membership.messages import Members
+from clementinekeel.membership.messages import no_effects
+from clementinekeel.membership.messages import Notice
+from clementinekeel.membership.messages import Outgoing
+from clementinekeel.membership.messages import Probe
+from clementinekeel.membership.messages import ProbeAck
+from clementinekeel.membership.messages import ProbeRequest
+from clementinekeel.membership.messages import Status
+from clementinekeel.membership.records import MemberId
+from clementinekeel.membership.records import MemberRecord
+from clementinekeel.membership.records import MemberState
+from clementinekeel.routing.messages import Candidate
+from clementinekeel.runtime import invariants
+
+TICK_INTERVAL_MS = 100
+PAUSE_MS = 2_000
+"""A tick that is this late means that others may have missed our acks."""
+ISOLATED_MS = 5_000
+"""Without an ack for this long, the fault is likely our own link's."""
+SILENCE_MS = 10_000
+"""Without any message for this long, the entry points are asked again."""
+DIGEST_INTERVAL_MS = 5_000
+CATCH_UP_INTERVAL_MS = 500
+RELAY_INTERVAL_MS = 1_000
+ENTRY_DIGEST_INTERVAL_MS = 30_000
+"""Finds parts of the fleet that do not know each other."""
+RECONNECT_INTERVAL_MS = 5_000
+CONFIRM_INTERVAL_MS = 500
+CONFIRMERS = 3
+URGENT_PROBES = 3
+JOIN_MEMBERS = 64
+JOINS_PER_S = 100
+RANDOM_MEMBER_SHARE = 0.25
+"""Share of a relay's probes that go to any member of another zone, since
+all relays that the view names there may be gone."""
+CONFIGURATION_PUBLISH_MS_PER_MEMBER = 100
+"""Every member's record changes with each configuration; at 0.5 changes/s
+and 27,000 members that alone would be 14,000 records/s. The version is in
+each probe at once; the record follows at 10 records/s in the whole fleet."""
+CONFIRM_PROBES_PER_S = 10
+"""Probes a second, from the whole zone, of a suspect that lacks a second
+witness."""
+_HEAD_BYTES = 60
+_OWN_FIELDS = frozenset(
+    {"region", "state", "service", "endpoint", "configuration_version"}
+)
+
+
+class Membership:
+    """Members of the fleet as one node sees them.
+
+    It opens no socket and reads no clock. Each method that takes the time
+    returns what to send and which records have changed.
+
+    Parameters
+    ----------
+    own : MemberRecord
+        First record of the node.
+    seeds : sequence of str
+        Addresses of entry points from the settings.
+    random : random.Random
+        Source of all random choices.
+    now_ms : int
+        Monotonic time.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        seeds: Sequence[str],
+        random: random_module.Random,
+        now_ms: int,
+    ) -> None:
+        self._random = random
+        self._wanted_state = own.state
+        if own.state is MemberState.READY:
+            own = own._replace(state=MemberState.JOINING)
+        self._directory = directory.Directory(own, random, now_ms)
+        self._view = self._directory.view
+        self._detector = self._directory.detector
+        self._exchange = exchange.Exchange(self._view, random, now_ms)
+        self._joining = joining.Joining(own.address, seeds, random, now_ms)
+        self._confirmation = joining.Confirmation()
+        self._zones = zones_module.OtherZones()
+        self._join_limit = limits.TokenBucket(JOINS_PER_S, JOINS_PER_S, now_ms)
+        self._now_ms = now_ms
+        self._last_tick_ms = now_ms
+        self._heard_ms = now_ms
+        self._round_trip_ms = now_ms - ISOLATED_MS
+        self._has_joined = False
+        self._was_relay = False
+        self._published_ms = now_ms
+        self._due: dict[str, int] = {}
+        self._timers = (
+            (self._probe_zone, detector_module.PROBE_INTERVAL_MS),
+            (self._probe_other_zone, RELAY_INTERVAL_MS),
+            (self._digest_other_zone, RELAY_INTERVAL_MS),
+            (self._digest_zone, DIGEST_INTERVAL_MS),
+            (self._digest_entry_point, ENTRY_DIGEST_INTERVAL_MS),
+            (self._reconnect, RECONNECT_INTERVAL_MS),
+            (self._confirm, CONFIRM_INTERVAL_MS),
+        )
+        for step, interval_ms in self._timers:
+            # Nodes that start together do not act in step.
+            offset_ms = random.randrange(interval_ms)
+            self._due[step.__name__] = now_ms + offset_ms
+        self._handlers: dict[type[Any], Any] = {
+            Probe: self.on_probe,
+            ProbeAck: self.on_probe_ack,
+            ProbeRequest: self.on_probe_request,
+            Join: self.on_join,
+            Members: self.on_members,
+            Digest: self.on_digest,
+            Delta: self.on_delta,
+        }
+
+    @property
+    def own(self) -> MemberRecord:
+        """The node's own record."""
+        return self._directory.own
+
+    @property
+    def members(self) -> list[MemberRecord]:
+        """Records of all members, the node itself included."""
+        return list(self._view.records())
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether the node is one of its zone's relays."""
+        key = self._directory.own_key
+        return key in self._view.relays(self.own.zone)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether enough members have answered since a start or a pause."""
+        return self._confirmation.is_complete
+
+    @property
+    def unreachable_zones(self) -> tuple[str, ...]:
+        """Other zones that the node or its relays cannot reach."""
+        return self._zones.unreachable(self.is_relay, self._now_ms)
+
+    @property
+    def suspects(self) -> list[MemberRecord]:
+        """Members that did not answer and have not been removed."""
+        found = map(self._view.get, self._detector.suspicions)
+        return [record for record in found if record is not None]
+
+    def members_of(self, zone: str) -> list[MemberRecord]:
+        """Return the records of a zone's members."""
+        return self._records(self._view.keys(zone))
+
+    def find(self, member_id: MemberId) -> MemberRecord | None:
+        """Return the record of a member."""
+        return self._view.get(member_id.key)
+
+    def endpoints(self, service: str) -> list[Candidate]:
+        """Return the endpoints of a service that take new work."""
+        return [
+            Candidate(
+                record.endpoint,
+                record.service,
+                record.zone,
+                record.region,
+                record.node_id,
+                record.incarnation,
+                record.address,
+            )
+            for _, record in self._view.service_members(service)
+            if record.state is MemberState.READY
+        ]
+
+    def relays(self, zone: str) -> list[MemberRecord]:
+        """Return a zone's relays, best first."""
+        return self._records(self._view.relays(zone))
+
+    def newest_configuration(self) -> tuple[int, str]:
+        """Return the newest configuration version and who has it."""
+        return self._directory.newest
+
+    def add_entry_points(self, addresses: Iterable[str]) -> None:
+        """Add addresses to ask for members, for example from the store."""
+        self._joining.add(addresses, self._now_ms)
+
+    def update_own(self, now_ms: int, **changes: Any) -> Effects:
+        """Change fields of the own record.
+
+        A state of ``READY`` is published once the node is confirmed. A new
+        configuration version is in the next probe; the record that others
+        store follows later.
+
+        Raises
+        ------
+        ValueError
+            If a field is part of the identity, or the record is too large.
+        """
+        effects = self._begin(now_ms)
+        if not _OWN_FIELDS.issuperset(changes):
+            raise ValueError(f"fixed field in {sorted(changes)}")
+        if "configuration_version" in changes:
+            version = changes.pop("configuration_version")
+            self._directory.use_configuration(version)
+        is_urgent = "state" in changes
+        if is_urgent:
+            self._wanted_state = changes["state"]
+            changes["state"] = self._allowed_state()
+        changes = {
+            name: value
+            for name, value in changes.items()
+            if getattr(self.own, name) != value
+        }
+        if changes:
+            self._publish(**changes)
+            if is_urgent:
+                self._probe_some(URGENT_PROBES)
+        return effects
+
+    def leave(self, now_ms: int) -> Effects:
+        """Announce that the node takes no new work."""
+        return self.update_own(now_ms, state=MemberState.LEAVING)
+
+    def tick(self, now_ms: int) -> Effects:
+        """Do what is due; to be called every ``TICK_INTERVAL_MS``."""
+        effects = self._begin(now_ms)
+        self._last_tick_ms = now_ms
+        if self._wanted_state is MemberState.LEFT:
+            return effects
+        self._view.removals.expire(now_ms)
+        self._ask_helpers()
+        self._end_probes()
+        self._end_suspicions()
+        self._follow_relay_role()
+        for step, interval_ms in self._timers:
+            if now_ms >= self._due[step.__name__]:
+                self._due[step.__name__] = now_ms + interval_ms
+                step()
+        self._join()
+        self._publish_configuration()
+        return effects
+
+    def receive(
+        self, sender_address: str, message: Any, now_ms: int
+    ) -> Effects:
+        """Handle a message of another node."""
+        effects = self._begin(now_ms)
+        handler = self._handlers.get(type(message))
+        if handler is not None and self._wanted_state is not MemberState.LEFT:
+            self._heard_ms = now_ms
+            handler(sender_address, message)
+        return effects
+
+    def on_probe(self, address: str, message: Probe) -> None:
+        """Answer a probe, with what the prober must know about itself."""
+        self._meet(message.sender)
+        self._directory.apply_piggyback(message.piggyback)
+        sender = message.sender
+        notices = self._directory.notice_about(sender.key, sender.version)
+        piggyback = self._directory.piggyback(self._own_bytes(), notices)
+        self._send(address, ProbeAck(message.serial, self.own, piggyback))
+
+    def on_probe_ack(self, address: str, message: ProbeAck) -> None:
+        """Take an ack as evidence only if it answers a probe under way."""
+        self._meet(message.subject)
+        self._directory.apply_piggyback(message.piggyback)
+        pending = self._detector.answer(message.serial)
+        if pending is None:
+            return
+        subject = message.subject
+        key = subject.key
+        if pending.requester:
+            piggyback = self._directory.piggyback(self._own_bytes())
+            passed_on = ProbeAck(pending.requester_serial, subject, piggyback)
+            self._send(pending.requester, passed_on)
+        self._note_round_trip(subject)
+        self._detector.clear(key)
+        if key != pending.target:
+            self._remove_replaced(pending.target, subject)
+        is_relay = key in self._view.relays(subject.zone)
+        others = self._directory.other_count or len(self._view) - 1
+        self._confirmation.answered(key, is_relay, others)
+        self._follow_confirmation()
+
+    def on_probe_request(self, address: str, message: ProbeRequest) -> None:
+        """Probe a member for another one."""
+        self._meet(message.sender)
+        self._directory.apply_piggyback(message.piggyback)
+        self._probe(message.target, message.address, True, message, address)
+
+    def on_join(self, address: str, message: Join) -> None:
+        """Answer with some random members and the relays."""
+        self._meet(message.sender)
+        if not self._join_limit.take(self._now_ms):
+            return
+        zone = message.sender.zone
+        keys = self._view.pick(zone, JOIN_MEMBERS, self._random)
+        for other in self._view.zones:
+            room = JOIN_MEMBERS - len(keys)
+            if other != zone and room > 0:
+                keys += self._view.pick(other, room, self._random)
+        for relays_zone in {zone, self.own.zone}:
+            keys += self._view.relays(relays_zone)
+        records = self._records(dict.fromkeys(keys))
+        room_bytes = MAX_PAYLOAD_BYTES - self._own_bytes()
+        for part in exchange.fitting(records, room_bytes):
+            self._send(address, Members(self.own, tuple(part)))
+
+    def on_members(self, address: str, message: Members) -> None:
+        """Take the answer to a join."""
+        self._meet(message.sender)
+        self._directory.apply_all(message.records, is_spread=False)
+        if not self._has_joined:
+            self._has_joined = True
+            self._due["_digest_zone"] = self._now_ms
+
+    def on_digest(self, address: str, message: Digest) -> None:
+        """Answer a digest with the next step if the views differ."""
+        self._meet(message.sender)
+        is_from_relay = message.sender.key in self._view.relays(self.own.zone)
+        if message.buckets:
+            answers = list(
+                self._exchange.on_buckets(address, message, self._now_ms)
+            )
+            if len(answers) >= exchange.RANGES_PER_EXCHANGE:
+                self._catch_up()
+        else:
+            answers = list(self._exchange.on_zones(address, message, self.own))
+            if is_from_relay:
+                self._zones.on_report(message.unreachable, self._now_ms)
+        self._directory.effects.messages.extend(answers)
+
+    def on_delta(self, address: str, message: Delta) -> None:
+        """Take the newer records and answer with ours."""
+        # News from another zone reaches this one through its relays.
+        self._directory.apply_all(message.records, is_spread=self.is_relay)
+        self._directory.apply_notices(message.notices)
+        answers = self._exchange.on_delta(address, message, self._now_ms)
+        self._directory.effects.messages.extend(answers)
+
+    def _begin(self, now_ms: int) -> Effects:
+        effects = no_effects()
+        self._directory.effects = effects
+        self._directory.now_ms = now_ms
+        self._now_ms = now_ms
+        if now_ms - self._last_tick_ms >= PAUSE_MS:
+            self._last_tick_ms = now_ms
+            self._on_pause()
+        return effects
+
+    def _on_pause(self) -> None:
+        # Answers that came during the pause were not read, so the timers
+        # say nothing about the others; and the others may have removed us.
+        self._detector.reset()
+        self._zones.reset(self._now_ms)
+        self._confirmation.reset()
+        self._round_trip_ms = self._now_ms - ISOLATED_MS
+        self._joining.restart(self._now_ms)
+        for name in self._due:
+            self._due[name] = max(self._due[name], self._now_ms)
+        self._due["_confirm"] = self._now_ms
+        if self.own.state is MemberState.READY:
+            self._publish(state=MemberState.JOINING)
+
+    def _allowed_state(self) -> MemberState:
+        wanted = self._wanted_state
+        if wanted is MemberState.READY and not self.is_confirmed:
+            return MemberState.JOINING
+        return wanted
+
+    def _follow_confirmation(self) -> None:
+        state = self._allowed_state()
+        if self.own.state is not state:
+            self._publish(state=state)
+            self._probe_some(URGENT_PROBES)
+
+    def _publish(self, **changes: Any) -> None:
+        self._published_ms = self._now_ms
+        self._directory.publish(**changes)
+        invariants.check(
+            self.own.state is not MemberState.READY or self.is_confirmed,
+            "ready_only_when_confirmed",
+        )
+
+    def _publish_configuration(self) -> None:
+        stored = self._view.get(self._directory.own_key)
+        if stored is None:
+            return
+        version = self.own.configuration_version
+        interval_ms = CONFIGURATION_PUBLISH_MS_PER_MEMBER * len(self._view)
+        if (
+            stored.configuration_version != version
+            and self._now_ms - self._published_ms >= interval_ms
+        ):
+            self._publish()
+
+    def _records(self, keys: Iterable[int]) -> list[MemberRecord]:
+        found = map(self._view.get, keys)
+        return [record for record in found if record is not None]
+
+    def _own_bytes(self) -> int:
+        return _HEAD_BYTES + _packing.size_of(self.own)
+
+    def _send(self, address: str, payload: Any) -> None:
+        self._directory.effects.messages.append(Outgoing(address, payload))
+
+    def _meet(self, sender: MemberRecord) -> None:
+        self._directory.apply(sender)
+        self._directory.note_configuration(
+            sender.configuration_version, sender.address
+        )
+        if sender.zone != self.own.zone:
+            self._zones.on_heard(sender.zone, self._now_ms)
+
+    def _probe(
+        self,
+        key: int,
+        address: str,
+        is_accusing: bool,
+        request: ProbeRequest | None = None,
+        requester: str = "",
+    ) -> None:
+        serial = self._detector.start(
+            detector_module.Pending(
+                key,
+                address,
+                self._now_ms,
+                is_accusing,
+                requester,
+                0 if request is None else request.serial,
+                False,
+            )
+        )
+        if serial is None:
+            return
+        notices = self._directory.notice_about(key, 0)
+        piggyback = self._directory.piggyback(self._own_bytes(), notices)
+        self._send(address, Probe(serial, self.own, piggyback))
+
+    def _probe_some(self, count: int) -> None:
+        keys = self._view.pick(self.own.zone, count + 1, self._random)
+        keys = [key for key in keys if key != self._directory.own_key]
+        for record in self._records(keys[:count]):
+            self._probe(record.key, record.address, False)
+
+    def _probe_zone(self) -> None:
+        key = self._detector.next_target(
+            self._view.__contains__, lambda: self._directory.other_keys
+        )
+        record = None if key is None else self._view.get(key)
+        if key is not None and record is not None:
+            self._probe(key, record.address, True)
+
+    def _ask_helpers(self) -> None:
+        for serial, pending in self._detector.take_due_for_helpers(
+            self._now_ms
+        ):
+            excluded = (self._directory.own_key, pending.target)
+            keys = self._view.pick(
+                self.own.zone,
+                detector_module.HELPERS + len(excluded),
+                self._random,
+            )
+            keys = [key for key in keys if key not in excluded]
+            helpers = self._records(keys[: detector_module.HELPERS])
+            for helper in helpers:
+                piggyback = self._directory.piggyback(
+                    self._own_bytes() + len(pending.address)
+                )
+                request = ProbeRequest(
+                    serial,
+                    self.own,
+                    pending.target,
+                    pending.address,
+                    piggyback,
+                )
+                self._send(helper.address, request)
+
+    def _end_probes(self) -> None:
+        is_isolated = self._now_ms - self._round_trip_ms >= ISOLATED_MS
+        for pending in self._detector.take_failed(self._now_ms):
+            record = self._view.get(pending.target)
+            if (
+                record is None
+                or is_isolated
+                or not pending.is_accusing
+                or record.zone != self.own.zone
+            ):
+                continue
+            witnesses = (self._directory.own_key,)
+            self._directory.suspect(pending.target, record.version, witnesses)
+
+    def _end_suspicions(self) -> None:
+        since_ms = self._now_ms - detector_module.SUSPICION_MS
+        for key, suspicion in self._detector.due(self._now_ms):
+            record = self._view.get(key)
+            if record is None or record.version > suspicion.version:
+                self._detector.clear(key)
+            elif self._round_trip_ms >= since_ms:
+                self._end_suspicion(key, suspicion, record)
+
+    def _end_suspicion(
+        self,
+        key: int,
+        suspicion: detector_module.Suspicion,
+        record: MemberRecord,
+    ) -> None:
+        notice = Notice(
+            key, suspicion.version, Status.GONE, suspicion.witnesses
+        )
+        if self._directory.is_removable(notice, record):
+            self._directory.remove(notice)
+            return
+        wait_ms = detector_module.SUSPICION_MS
+        self._detector.postpone(key, self._now_ms + wait_ms)
+        # A second witness is needed. Not all members probe at once.
+        probes_per_s = self._directory.other_count * 1_000 / wait_ms
+        share = CONFIRM_PROBES_PER_S / max(1, probes_per_s)
+        is_witness = self._directory.own_key in suspicion.witnesses
+        if is_witness or self._random.random() < share:
+            self._detector.probe_soon(key)
+
+    def _note_round_trip(self, subject: MemberRecord) -> None:
+        # A node that reaches other zones but not its own has lost its own
+        # link and must not accuse its zone.
+        is_own_zone = subject.zone == self.own.zone
+        if not is_own_zone and self._directory.other_count > 1:
+            return
+        if self._now_ms - self._round_trip_ms >= ISOLATED_MS:
+            own_evidence = (self._directory.own_key,)
+            for key, suspicion in list(self._detector.suspicions.items()):
+                if suspicion.witnesses == own_evidence:
+                    self._detector.clear(key)
+        self._round_trip_ms = self._now_ms
+
+    def _remove_replaced(self, key: int, subject: MemberRecord) -> None:
+        record = self._view.get(key)
+        if record is None or record.address != subject.address:
+            return
+        witnesses = (self._directory.own_key,)
+        self._directory.remove(
+            Notice(key, record.version, Status.REPLACED, witnesses)
+        )
+
+    def _follow_relay_role(self) -> None:
+        is_relay = self.is_relay
+        if is_relay:
+            others = [z for z in self._view.zones if z != self.own.zone]
+            self._zones.watch(others, self._now_ms)
+            if not self._was_relay:
+                self._zones.reset(self._now_ms)
+        self._was_relay = is_relay
+
+    def _pick_in_other_zone(self) -> MemberRecord | None:
+        zone = self._zones.pick(self._random) if self._was_relay else None
+        if zone is None:
+            return None
+        keys = self._view.relays(zone)
+        if not keys or self._random.random() < RANDOM_MEMBER_SHARE:
+            keys = self._view.pick(zone, 1, self._random)
+        return self._view.get(self._random.choice(keys)) if keys else None
+
+    def _probe_other_zone(self) -> None:
+        record = self._pick_in_other_zone()
+        if record is not None:
+            self._probe(record.key, record.address, False)
+
+    def _digest_other_zone(self) -> None:
+        record = self._pick_in_other_zone()
+        if record is not None:
+            self._send_digest(record.address)
+
+    def _digest_zone(self) -> None:
+        keys = self._view.pick(self.own.zone, 2, self._random)
+        keys = [key for key in keys if key != self._directory.own_key]
+        for record in self._records(keys[:1]):
+            self._send_digest(record.address)
+
+    def _digest_entry_point(self) -> None:
+        entry_points = self._joining.entry_points
+        if self._was_relay and entry_points:
+            self._send_digest(self._random.choice(entry_points))
+
+    def _send_digest(self, address: str) -> None:
+        unreachable = self.unreachable_zones if self._was_relay else ()
+        digest = self._exchange.digest(self.own, unreachable)
+        self._send(address, digest)
+
+    def _catch_up(self) -> None:
+        due_ms = self._now_ms + CATCH_UP_INTERVAL_MS
+        self._due["_digest_zone"] = min(self._due["_digest_zone"], due_ms)
+
+    def _reconnect(self) -> None:
+        removal = self._view.removals.pick_unheard(self.own.zone, self._random)
+        if removal is not None:
+            self._probe(removal.notice.key, removal.address, False)
+
+    def _confirm(self) -> None:
+        if self.is_confirmed:
+            return
+        own_key = self._directory.own_key
+        relays = [
+            key
+            for zone in self._view.zones
+            for key in self._view.relays(zone)
+            if key != own_key
+        ]
+        count = min(CONFIRMERS, len(relays))
+        for record in self._records(self._random.sample(relays, count)):
+            self._probe(record.key, record.address, False)
+        if len(self._view) == 1 and not self._joining.entry_points:
+            self._confirmation.skip()
+            self._follow_confirmation()
+
+    def _join(self) -> None:
+        is_silent = self._now_ms - self._heard_ms >= SILENCE_MS
+        if self._has_joined and not is_silent:
+            return
+        known = [record.address for record in self.relays(self.own.zone)]
+        address = self._joining.next_address(self._now_ms, known)
+        if address is not None:
+            self._send(address, Join(self.own))
--- a/src/clementinekeel/membership/records.py
+++ b/src/clementinekeel/membership/records.py
@@ -1,8 +1,13 @@
 """Records that nodes publish about themselves."""
 
 import enum
+import hashlib
 from typing import NamedTuple
 
+KEY_BITS = 60
+"""An integer of 60 bits takes 32 bytes in CPython, one of 64 bits 48."""
+_KEY_BYTES = 8
+
 
 class MemberState(enum.StrEnum):
     """Whether a node takes new work."""
@@ -25,6 +30,15 @@
     node_id: str
     incarnation: int
 
+    @property
+    def key(self) -> int:
+        """Hash of the identity, the same at all nodes."""
+        digest = hashlib.blake2b(
+            b"%d/%s" % (self.incarnation, self.node_id.encode()),
+            digest_size=_KEY_BYTES,
+        ).digest()
+        return int.from_bytes(digest, "big") >> (8 * _KEY_BYTES - KEY_BITS)
+
 
 class MemberRecord(NamedTuple):
     """What a node publishes about itself.
@@ -56,3 +70,8 @@
     def member_id(self) -> MemberId:
         """Identity of the process that published the record."""
         return MemberId(self.node_id, self.incarnation)
+
+    @property
+    def key(self) -> int:
+        """Hash of the identity, the same at all nodes."""
+        return self.member_id.key
--- /dev/null
+++ b/src/clementinekeel/membership/view.py
@@ -0,0 +1,281 @@
+"""A node's view: records of the members it knows, with indexes."""
+
+import array
+import bisect
+from collections.abc import Iterator
+import enum
+import hashlib
+import random as random_module
+from typing import NamedTuple
+
+from clementinekeel.membership import _packing
+from clementinekeel.membership import relays
+from clementinekeel.membership import removals
+from clementinekeel.membership.messages import Notice
+from clementinekeel.membership.messages import Status
+from clementinekeel.membership.records import KEY_BITS
+from clementinekeel.membership.records import MemberRecord
+from clementinekeel.membership.records import MemberState
+from clementinekeel.runtime import invariants
+
+BUCKET_BITS = 6
+BUCKETS = 1 << BUCKET_BITS
+"""64 hashes of 8 bytes fit one datagram; 3,000 members are 47 a bucket."""
+BUCKET_SHIFT = KEY_BITS - BUCKET_BITS
+HASH_BYTES = 8
+
+
+class Change(enum.Enum):
+    """Effect of a record on the view."""
+
+    NONE = "none"
+    JOINED = "joined"
+    CHANGED = "changed"
+    REMOVED = "removed"
+
+
+class Applied(NamedTuple):
+    """Result of applying a record or a removal.
+
+    Attributes
+    ----------
+    record : MemberRecord or None
+        The record now in the view, or the one that was removed.
+    """
+
+    change: Change
+    record: MemberRecord | None
+
+
+def hash_version(key: int, version: int) -> int:
+    """Return a member's contribution to the hash of its bucket."""
+    digest = hashlib.blake2b(
+        b"%d/%d" % (key, version), digest_size=HASH_BYTES
+    ).digest()
+    return int.from_bytes(digest, "big")
+
+
+class _Zone:
+    """Sorted keys and XOR of the version hashes of each bucket."""
+
+    __slots__ = ("buckets", "count", "hashes", "ranking")
+
+    def __init__(self) -> None:
+        self.buckets: list[list[int]] = [[] for _ in range(BUCKETS)]
+        self.hashes = array.array("Q", bytes(HASH_BYTES * BUCKETS))
+        self.count = 0
+        self.ranking: relays.Ranking | None = None
+
+    @property
+    def hash(self) -> int:
+        result = 0
+        for bucket_hash in self.hashes:
+            result ^= bucket_hash
+        return result
+
+    def all_keys(self) -> Iterator[int]:
+        for bucket in self.buckets:
+            yield from bucket
+
+    def add(self, key: int) -> None:
+        bisect.insort(self.buckets[key >> BUCKET_SHIFT], key)
+        self.count += 1
+
+    def remove(self, key: int) -> None:
+        bucket = self.buckets[key >> BUCKET_SHIFT]
+        del bucket[bisect.bisect_left(bucket, key)]
+        self.count -= 1
+
+    def toggle(self, key: int, version: int) -> None:
+        self.hashes[key >> BUCKET_SHIFT] ^= hash_version(key, version)
+
+
+class View:
+    """Members known to a node, and the removed ones it remembers."""
+
+    def __init__(self) -> None:
+        self._packed: dict[int, bytes] = {}
+        self._zones: dict[str, _Zone] = {}
+        self._services: dict[str, list[int]] = {}
+        self.removals = removals.Removals()
+
+    def __len__(self) -> int:
+        return len(self._packed)
+
+    def __contains__(self, key: int) -> bool:
+        return key in self._packed
+
+    @property
+    def zones(self) -> list[str]:
+        """Zones that have members."""
+        return list(self._zones)
+
+    def get(self, key: int) -> MemberRecord | None:
+        """Return a member's record."""
+        packed = self._packed.get(key)
+        return None if packed is None else _packing.unpack(packed)
+
+    def records(self) -> Iterator[MemberRecord]:
+        """Yield all records."""
+        return map(_packing.unpack, self._packed.values())
+
+    def count(self, zone: str) -> int:
+        """Return the number of members of a zone."""
+        found = self._zones.get(zone)
+        return 0 if found is None else found.count
+
+    def keys(self, zone: str) -> list[int]:
+        """Return the keys of a zone's members, sorted."""
+        found = self._zones.get(zone)
+        return [] if found is None else list(found.all_keys())
+
+    def service_members(self, service: str) -> list[tuple[int, MemberRecord]]:
+        """Return the members that serve a service."""
+        return [
+            (key, _packing.unpack(self._packed[key]))
+            for key in self._services.get(service, ())
+        ]
+
+    def relays(self, zone: str) -> list[int]:
+        """Return the keys of a zone's relays, best first."""
+        found = self._zones.get(zone)
+        if found is None:
+            return []
+        if found.ranking is None:
+            found.ranking = relays.rank(
+                (key, _packing.unpack(self._packed[key]))
+                for key in found.all_keys()
+            )
+        return [key for _, key in found.ranking]
+
+    def zone_hash(self, zone: str) -> int:
+        """Return the hash of a zone's keys and versions."""
+        found = self._zones.get(zone)
+        return 0 if found is None else found.hash
+
+    def bucket_hashes(self, zone: str) -> list[int]:
+        """Return the hashes of a zone's buckets."""
+        found = self._zones.get(zone)
+        return [0] * BUCKETS if found is None else list(found.hashes)
+
+    def range_keys(self, zone: str, low: int, high: int) -> list[int]:
+        """Return the keys of a zone with ``low <= key < high``, sorted."""
+        found = self._zones.get(zone)
+        if found is None or high <= low:
+            return []
+        first = max(0, low >> BUCKET_SHIFT)
+        last = min(BUCKETS - 1, (high - 1) >> BUCKET_SHIFT)
+        result: list[int] = []
+        for bucket in found.buckets[first : last + 1]:
+            start = bisect.bisect_left(bucket, low)
+            end = bisect.bisect_left(bucket, high)
+            result += bucket[start:end]
+        return result
+
+    def pick(
+        self, zone: str, count: int, random: random_module.Random
+    ) -> list[int]:
+        """Return up to ``count`` different random members of a zone."""
+        found = self._zones.get(zone)
+        if found is None:
+            return []
+        if count * 4 >= found.count:
+            keys = list(found.all_keys())
+            return random.sample(keys, min(count, len(keys)))
+        chosen: set[int] = set()
+        while len(chosen) < count:
+            bucket = random.choice(found.buckets)
+            if bucket:
+                chosen.add(random.choice(bucket))
+        return sorted(chosen)
+
+    def apply(self, key: int, record: MemberRecord, now_ms: int) -> Applied:
+        """Take a record unless it is old or ruled out by a removal."""
+        known = self.get(key)
+        if known is not None and known.version >= record.version:
+            return Applied(Change.NONE, known)
+        removed = self.removals.find(key, record.version)
+        if removed is not None:
+            return Applied(Change.NONE, None)
+        if record.state is MemberState.LEFT:
+            notice = Notice(key, record.version, Status.LEFT, ())
+            return self.remove(notice, now_ms)
+        self.removals.forget(key)
+        if known is None:
+            self._insert(key, record)
+            return Applied(Change.JOINED, record)
+        self._replace(key, known, record)
+        return Applied(Change.CHANGED, record)
+
+    def remove(self, notice: Notice, now_ms: int) -> Applied:
+        """Remove a member and remember it, also if it is not known."""
+        known = self.get(notice.key)
+        if known is not None and known.version > notice.version:
+            return Applied(Change.NONE, known)
+        self.removals.add(
+            removals.Removal(
+                notice,
+                now_ms,
+                "" if known is None else known.zone,
+                "" if known is None else known.address,
+            )
+        )
+        if known is None:
+            return Applied(Change.NONE, None)
+        self._discard(notice.key, known)
+        return Applied(Change.REMOVED, known)
+
+    def _insert(self, key: int, record: MemberRecord) -> None:
+        invariants.check(
+            self.removals.find(key, record.version) is None,
+            "removed_member_stays_removed",
+            node_id=record.node_id,
+        )
+        self._packed[key] = _packing.pack(record)
+        zone = self._zones.get(record.zone)
+        if zone is None:
+            zone = self._zones[record.zone] = _Zone()
+        zone.add(key)
+        zone.toggle(key, record.version)
+        if record.service:
+            self._services.setdefault(record.service, []).append(key)
+        if zone.ranking is not None and relays.is_eligible(record):
+            zone.ranking = relays.insert(zone.ranking, key, record)
+
+    def _replace(
+        self, key: int, known: MemberRecord, record: MemberRecord
+    ) -> None:
+        invariants.check(
+            record.version > known.version,
+            "record_version_grows",
+            node_id=record.node_id,
+        )
+        if (
+            known.zone == record.zone
+            and known.service == record.service
+            and relays.is_eligible(known) == relays.is_eligible(record)
+        ):
+            zone = self._zones[record.zone]
+            zone.toggle(key, known.version)
+            zone.toggle(key, record.version)
+            self._packed[key] = _packing.pack(record)
+            return
+        self._discard(key, known)
+        self._insert(key, record)
+
+    def _discard(self, key: int, known: MemberRecord) -> None:
+        del self._packed[key]
+        zone = self._zones[known.zone]
+        zone.remove(key)
+        zone.toggle(key, known.version)
+        if zone.ranking is not None and any(
+            key == relay for _, relay in zone.ranking
+        ):
+            zone.ranking = None
+        if zone.count == 0:
+            del self._zones[known.zone]
+        if known.service:
+            keys = self._services[known.service]
+            keys.remove(key)
+            if not keys:
+                del self._services[known.service]
