--- a/src/clementinekeel/backends/pool.py
+++ b/src/clementinekeel/backends/pool.py
@@ -12,7 +12,7 @@
 
 
 class ConnectionPool:
-    """Keeps connections to one backend server, below its limit.
+    """Keeps connections to one backend server, up to ``limit`` of them.
 
     Parameters
     ----------
@@ -27,7 +27,7 @@
     def __init__(self, host: str, port: int, limit: int) -> None:
         self._host = host
         self._port = port
-        self._limit = limit
+        self.limit = limit
         self._open = 0
         # The connection used last is reused first, so that spare ones age
         # and are closed.
@@ -58,7 +58,7 @@
             if candidate.is_reusable:
                 return candidate
             await self.discard(candidate)
-        if self._open >= self._limit:
+        if self._open >= self.limit:
             raise self._error("connection limit reached")
         return await self._connect()
 
--- a/src/clementinekeel/callers/app.py
+++ b/src/clementinekeel/callers/app.py
@@ -101,6 +101,7 @@
         self._limits = limits
         self._is_onward = is_onward
         self._in_flight = 0
+        self._became_idle = anyio.Event()
 
     @property
     def in_flight(self) -> int:
@@ -135,6 +136,14 @@
             log.event("caller_gone", level="DEBUG", step="accept")
         finally:
             self._in_flight -= 1
+            if not self._in_flight:
+                self._became_idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight."""
+        while self._in_flight:
+            self._became_idle = anyio.Event()
+            await self._became_idle.wait()
 
     async def _route(self, exchange: "_Exchange") -> None:
         path: str = exchange.scope["path"]
--- a/src/clementinekeel/daemon/attempt.py
+++ b/src/clementinekeel/daemon/attempt.py
@@ -9,6 +9,7 @@
 from clementinekeel.nodes import messages
 from clementinekeel.nodes import session as node_session
 from clementinekeel.nodes import streams
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.routing import messages as routing
 from clementinekeel.runtime import clock
 
@@ -42,7 +43,7 @@
 class MayHaveRun(NamedTuple):
     """The request ran or may have run, and there is no whole answer."""
 
-    outcome: callers.Outcome
+    outcome: outcomes.Outcome
     reason: str
     step: str
     peer: str
@@ -119,7 +120,7 @@
             stream.cancel("deadline or caller gone")
     if reply is None:
         return MayHaveRun(
-            callers.Outcome.UNKNOWN,
+            outcomes.Outcome.UNKNOWN,
             "deadline",
             "wait",
             session.node_id,
@@ -198,7 +199,7 @@
         )
     reason = getattr(message, "reason", "unexpected message")
     return MayHaveRun(
-        callers.Outcome.UNKNOWN,
+        outcomes.Outcome.UNKNOWN,
         "owner_unreachable",
         reason,
         session.node_id,
--- a/src/clementinekeel/daemon/backend.py
+++ b/src/clementinekeel/daemon/backend.py
@@ -41,6 +41,7 @@
     ) -> None:
         self._max_connections = max_connections
         self._on_change = on_change
+        self._limit = max_connections
         self._state = BackendState.ABSENT
         self._announcement: backend_app.Announcement | None = None
         self._last_heard_ms = 0
@@ -66,6 +67,12 @@
         """Connections to it, None while it is absent."""
         return self._pool
 
+    def set_limit(self, connections: int) -> None:
+        """Open at most this many connections, and no more than allowed."""
+        self._limit = min(connections, self._max_connections)
+        if self._pool is not None:
+            self._pool.limit = self._limit
+
     def on_announcement(self, announcement: backend_app.Announcement) -> str:
         """Take an announcement; return why it is refused, or empty."""
         host, _, port = announcement.address.rpartition(":")
@@ -76,9 +83,7 @@
             return "this node already serves " + before.endpoint
         is_new = before is None or before.instance != announcement.instance
         if is_new or self._pool is None:
-            self._pool = pool.ConnectionPool(
-                host, int(port), self._max_connections
-            )
+            self._pool = pool.ConnectionPool(host, int(port), self._limit)
         self._announcement = announcement
         self._last_heard_ms = clock.now_ms()
         self._change(BackendState(announcement.state), is_new)
--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -12,7 +12,7 @@
 from clementinekeel.configuration import model
 from clementinekeel.daemon import attempt
 from clementinekeel.daemon import contexts
-from clementinekeel.daemon import directory
+from clementinekeel.daemon import directory as directories
 from clementinekeel.daemon import plan as plans
 from clementinekeel.nodes import messages
 from clementinekeel.nodes import pool
@@ -62,8 +62,9 @@
 class _Progress:
     """What the attempts of one request have led to so far."""
 
-    def __init__(self, plan: plans.Plan) -> None:
+    def __init__(self, plan: plans.Plan, report: trail.Report) -> None:
         self.plan = plan
+        self.report = report
         self.key = plan.request.key
         self.attempts = 0
         self.moves = 0
@@ -88,7 +89,9 @@
     ----------
     configuration : Callable
         Returns the configuration in force, or None.
-    fleet : directory.Directory
+    is_leaving : Callable
+        Returns whether this node takes no new work.
+    directory : directories.Directory
         Endpoints and nodes.
     router : routers.Router
         Chooses endpoints.
@@ -111,7 +114,8 @@
     def __init__(
         self,
         configuration: Callable[[], model.Configuration | None],
-        fleet: directory.Directory,
+        is_leaving: Callable[[], bool],
+        directory: directories.Directory,
         router: routers.Router,
         sessions: pool.SessionPool,
         issuer: keys.KeyIssuer,
@@ -122,8 +126,10 @@
         random_source: random.Random,
     ) -> None:
         self.counts: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[str] = collections.Counter()
         self._configuration = configuration
-        self._fleet = fleet
+        self._is_leaving = is_leaving
+        self._directory = directory
         self._router = router
         self._sessions = sessions
         self._issuer = issuer
@@ -135,6 +141,10 @@
         self._services: frozenset[str] = frozenset()
         self._services_of: model.Configuration | None = None
 
+    def set_budget(self, retry_budget: budget.RetryBudget) -> None:
+        """Use another budget, since the rules have changed."""
+        self._budget = retry_budget
+
     async def call(
         self, request: callers.CallerRequest
     ) -> callers.CallerAnswer | callers.CallerProblem:
@@ -145,15 +155,16 @@
             configuration,
             self._known_services(configuration),
             self._served,
+            self._is_leaving(),
             clock.now_ms(),
         )
         if isinstance(plan, callers.CallerProblem):
             answer: callers.CallerAnswer | callers.CallerProblem = plan
         else:
             answer = await self._run_plan(plan)
-        reason = getattr(answer, "reason", "")
         self.counts[str(answer.outcome)] += 1
-        self._trail.note(request.request_id, "entry", answer.outcome, reason)
+        if isinstance(answer, callers.CallerProblem):
+            self.refusals[answer.reason] += 1
         return answer
 
     async def issue_key(
@@ -193,8 +204,26 @@
     async def _run_plan(
         self, plan: plans.Plan
     ) -> callers.CallerAnswer | callers.CallerProblem:
+        request = plan.request
+        report = self._trail.open(
+            request.request_id,
+            request.service,
+            plan.operation.name,
+            plan.request_class,
+            plan.rank,
+            plan.operation.idempotent,
+        )
+        progress = _Progress(plan, report)
+        answer = await self._within_context(progress)
+        report.end(answer.outcome)
+        return answer
+
+    async def _within_context(
+        self, progress: _Progress
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        plan = progress.plan
         if plan.context is None:
-            return await self._attempt_all(_Progress(plan))
+            return await self._attempt_all(progress)
         # The end of the request that caused this one cancels it.
         answer: callers.CallerAnswer | callers.CallerProblem = (
             callers.CallerProblem(
@@ -214,7 +243,7 @@
                 tasks.start_soon(
                     _cancel_at_end, plan.context, tasks.cancel_scope
                 )
-                answer = await self._attempt_all(_Progress(plan))
+                answer = await self._attempt_all(progress)
                 used = plan.allowance.used
                 tasks.cancel_scope.cancel()
         except* Exception as group:
@@ -233,6 +262,7 @@
                 return target
             result = await self._attempt(progress, target)
             self._settle_allowance(progress, result)
+            _note(progress, target, result)
             answer = await self._conclude(progress, target, result)
             if answer is not None:
                 return answer
@@ -318,7 +348,7 @@
                 "no node has issued this idempotency key; use the one in "
                 "this answer",
             )
-        owner = self._fleet.owner(parsed)
+        owner = self._directory.owner(parsed)
         if owner is None:
             return callers.CallerProblem(
                 Outcome.UNKNOWN,
@@ -481,7 +511,7 @@
     def _choose(
         self, service: str, rank: int, exclude: set[tuple[str, int]]
     ) -> routing.Candidate | routing.NoTarget:
-        self._router.update(service, self._fleet.candidates(service))
+        self._directory.refresh(service)
         return self._router.choose(
             service, rank, clock.now_ms(), frozenset(exclude)
         )
@@ -523,6 +553,18 @@
         return self._services
 
 
+def _note(
+    progress: _Progress, target: _Target, result: attempt.Result
+) -> None:
+    peer = target.candidate.endpoint
+    if isinstance(result, attempt.Answered):
+        progress.report.note("attempt", peer, result.answer.outcome)
+    elif isinstance(result, attempt.NotRun):
+        progress.report.note(result.step, peer, "refused", result.reason)
+    else:
+        progress.report.note(result.step, peer, result.outcome, result.reason)
+
+
 async def _cancel_at_end(
     context: contexts.Context, scope: anyio.CancelScope
 ) -> None:
@@ -560,6 +602,20 @@
     return len(body.first) if body.is_complete else body.length
 
 
+def _view(
+    progress: _Progress, result: attempt.Result
+) -> tuple[Outcome, int, bool]:
+    """Return outcome, hint, and whether another attempt is allowed."""
+    if isinstance(result, attempt.NotRun):
+        can_repeat = progress.is_idempotent or bool(result.moved)
+        return Outcome.REFUSED, result.retry_after_ms, can_repeat
+    if isinstance(result, attempt.MayHaveRun):
+        return result.outcome, 0, progress.is_idempotent
+    # A long answer is still arriving, so it is passed on as it is.
+    can_repeat = progress.is_idempotent and result.answer.last
+    return result.answer.outcome, 0, can_repeat
+
+
 def _caller_answer(result: attempt.Answered, key: str) -> callers.CallerAnswer:
     answer = result.answer
     return callers.CallerAnswer(
--- a/src/clementinekeel/daemon/keeper.py
+++ b/src/clementinekeel/daemon/keeper.py
@@ -42,6 +42,7 @@
         self, on_change: Callable[[model.Configuration], None]
     ) -> None:
         self.unusable_version = 0
+        self.fault = ""
         self._on_change = on_change
         self._current: model.Configuration | None = None
         self._snapshot: snapshots.Snapshot | None = None
@@ -92,6 +93,7 @@
         )
         self._current = configuration
         self._snapshot = snapshot
+        self.fault = ""
         log.event(
             "configuration_in_force",
             version=snapshot.version,
@@ -138,6 +140,7 @@
         if version and version <= self.unusable_version:
             return
         self.unusable_version = max(version, self.unusable_version)
+        self.fault = f"version {version}: {reason}"
         log.event(
             "configuration_unusable",
             level="ERROR",
--- a/src/clementinekeel/daemon/owner.py
+++ b/src/clementinekeel/daemon/owner.py
@@ -46,6 +46,8 @@
         None for an idempotent call.
     scope : anyio.CancelScope
         Cancels the work at the backend server.
+    report : trail.Report
+        Decisions, for operators.
     """
 
     number: int
@@ -53,6 +55,7 @@
     call: messages.Call
     key: outcomes.IssuedKey | None
     scope: anyio.CancelScope
+    report: trail.Report
 
 
 class Result(NamedTuple):
@@ -149,6 +152,16 @@
         """Use an admission controller; only while no call is served."""
         self._admission = admission_controller
 
+    def set_slots(self, slots: int) -> None:
+        """Change the slots of the backend server."""
+        if self._admission is not None:
+            self._admission.set_slots(slots)
+
+    def start_ramp(self) -> None:
+        """Let the limit rise slowly, since the backend server starts cold."""
+        if self._admission is not None:
+            self._admission.start_ramp(clock.now_ms())
+
     def set_leaving(self, is_leaving: bool) -> None:
         """Refuse new calls, or take them again."""
         self._is_leaving = is_leaving
@@ -226,7 +239,15 @@
         key: outcomes.IssuedKey | None,
     ) -> None:
         number = next(self._numbers)
-        served = Served(number, stream, call, key, anyio.CancelScope())
+        report = self._trail.open(
+            call.request_id,
+            call.service,
+            f"{call.method} {call.path}",
+            call.request_class,
+            call.rank,
+            call.idempotent,
+        )
+        served = Served(number, stream, call, key, anyio.CancelScope(), report)
         reason = self._reason_to_refuse(call)
         if reason or self._admission is None:
             self._refuse(served, reason or "no_backend", "accept", 0)
@@ -410,8 +431,8 @@
     ) -> None:
         self._served.pop(served.number, None)
         self._running.discard(served.number)
-        self._trail.note(
-            served.call.request_id, "owner", result.outcome, result.reason
+        served.report.note(
+            result.step, result.peer, result.outcome, result.reason
         )
         if result.outcome is Outcome.REFUSED:
             self._refuse(served, result.reason, result.step, 0)
@@ -472,7 +493,7 @@
             moved = self._moved_by(decision)
             for waiter in self._waiters.pop(served.key.serial, []):
                 self._answer_recorded(waiter, decision)
-        self._trail.note(served.call.request_id, "owner", "refused", reason)
+        served.report.note(step, served.stream.peer, "refused", reason)
         self._send_refusal(served.stream, reason, step, retry_after_ms, moved)
 
     def _moved_by(self, decision: outcomes.Decision) -> str:
--- a/src/clementinekeel/daemon/plan.py
+++ b/src/clementinekeel/daemon/plan.py
@@ -8,6 +8,7 @@
 from clementinekeel.configuration import model
 from clementinekeel.daemon import contexts
 from clementinekeel.retries import allowance
+from clementinekeel.retries import calls
 
 
 class Plan(NamedTuple):
@@ -32,7 +33,7 @@
     expires_ms: int
     context: contexts.Context | None
     draw: allowance.Draw | None
-    allowance: allowance.CallAllowance
+    allowance: calls.CallAllowance
 
 
 def make(
@@ -40,6 +41,7 @@
     configuration: model.Configuration | None,
     services: frozenset[str],
     served: contexts.Contexts,
+    is_leaving: bool,
     now_ms: int,
 ) -> Plan | callers.CallerProblem:
     """Return the plan of a request, or why it is refused.
@@ -52,6 +54,9 @@
         Services of its inventory.
     served : Contexts
         Requests that the backend server is serving.
+    is_leaving : bool
+        Whether this node takes no new work. Onward calls of requests that
+        it still serves are no new work.
     now_ms : int
         Present time.
     """
@@ -77,6 +82,10 @@
                 "context_ended",
                 "the request that caused this call has ended",
             )
+    if is_leaving and context is None:
+        return problems.refusal(
+            503, "leaving", "the node is being stopped; use another one"
+        )
     operation = classifier.classify(
         configuration, request.service, request.method, request.path
     )
@@ -136,5 +145,5 @@
         expires_ms,
         context,
         draw,
-        allowance.CallAllowance(extra),
+        calls.CallAllowance(extra),
     )
--- a/src/clementinekeel/daemon/serving.py
+++ b/src/clementinekeel/daemon/serving.py
@@ -7,7 +7,6 @@
 import anyio
 
 from clementinekeel.backends import connection
-from clementinekeel.backends import errors as backend_errors
 from clementinekeel.backends import pool
 from clementinekeel.callers import headers as caller_headers
 from clementinekeel.daemon import contexts
@@ -65,7 +64,7 @@
     ExpiredError
         If the deadline passed while waiting for a connection; nothing was
         sent.
-    backend_errors.BackendError
+    clementinekeel.backends.errors.BackendError
         If there is no whole answer.
     streams.BodyError
         If the body of the request is cut.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -61,6 +61,7 @@
     endpoint: str
     slots: int
     connections: int
+    trace: bool
 
 
 class Faults:
@@ -180,7 +181,7 @@
         self, plan: Plan, run: str, headers: dict[str, str], size: int
     ) -> tuple[int, bytes]:
         async with self._slots:
-            self.started[run] += 1
+            self._count("started", self.started, run)
             work_ms = plan.get("work_ms", 1.0) * self.faults.slow_factor
             await self.faults.wait_unstuck()
             await anyio.sleep(work_ms / 1000)
@@ -191,7 +192,7 @@
                 await self._call_onward(plan, run, headers)
             except OnwardError as error:
                 return 502, f"{error}\n".encode()
-            self.finished[run] += 1
+            self._count("finished", self.finished, run)
         body = json.dumps(
             {
                 "endpoint": self.options.endpoint,
@@ -202,6 +203,15 @@
         padding = max(0, plan.get("answer_bytes", 0) - len(body))
         return plan.get("status", 200), body + b" " * padding
 
+    def _count(
+        self, kind: str, counter: collections.Counter[str], run: str
+    ) -> None:
+        counter[run] += 1
+        if self.options.trace:
+            # A pipe keeps the line when this process is killed.
+            sys.stdout.write(f"{kind} {run}\n")
+            sys.stdout.flush()
+
     async def _call_onward(
         self, plan: Plan, run: str, headers: dict[str, str]
     ) -> None:
@@ -343,6 +353,9 @@
     parser.add_argument("--endpoint", required=True)
     parser.add_argument("--slots", type=int, default=90)
     parser.add_argument("--connections", type=int, default=630)
+    parser.add_argument(
+        "--trace", action="store_true", help="print each run that starts"
+    )
     return Options(**vars(parser.parse_args(arguments)))
 
 
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,357 @@
+"""A fleet of processes on loopback: store, nodes and backend servers.
+
+Used by demonstrations, measurements and tests of failures. The processes of
+one endpoint stand for one VM.
+"""
+
+import collections
+from collections.abc import AsyncIterator, Callable
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+import httpx
+import returns.result
+
+from clementinekeel.configuration import model
+from clementinekeel.configuration import objects
+from clementinekeel.configuration import reader
+from clementinekeel.platform import changes
+from clementinekeel.platform import client
+
+LOOPBACK = "127.0.0.1:0"
+FLEET_KEY = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+START_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.1
+SEEDS = 2
+"""Nodes that the others are told of at their start."""
+
+SETTINGS = """\
+[node]
+id = {node_id}
+zone = {zone}
+region = {region}
+log_level = {log_level}
+[nodes]
+listen = 127.0.0.1:0
+seeds = {seeds}
+keys = {key}
+[callers]
+listen = 127.0.0.1:0
+[backend]
+listen = 127.0.0.1:0
+max_connections = {connections}
+[platform]
+urls = {store}
+[operators]
+listen = 127.0.0.1:0
+[policies]
+{policies}
+"""
+
+
+class FleetError(Exception):
+    """A process did not start or did not become ready."""
+
+
+class Process:
+    """A child process that prints its addresses as a JSON line.
+
+    Parameters
+    ----------
+    on_line : Callable
+        Called with each further line of its standard output.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        process: anyio.abc.Process,
+        on_line: Callable[[str], None],
+    ) -> None:
+        self.name = name
+        self.addresses: dict[str, str] = {}
+        self._process = process
+        self._on_line = on_line
+        self._started = anyio.Event()
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.returncode is None
+
+    async def read(self) -> None:
+        """Read its standard output to the end."""
+        assert self._process.stdout is not None
+        rest = ""
+        async for data in self._process.stdout:
+            lines = (rest + data.decode()).split("\n")
+            rest = lines.pop()
+            for line in lines:
+                self._take(line)
+
+    async def wait_started(self) -> None:
+        """Wait for the line with its addresses."""
+        with anyio.move_on_after(START_TIMEOUT_S):
+            await self._started.wait()
+        if not self._started.is_set():
+            raise FleetError(f"{self.name} did not start")
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal, if the process still runs."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait until it has ended; return its exit code."""
+        return await self._process.wait()
+
+    def _take(self, line: str) -> None:
+        if self._started.is_set():
+            self._on_line(line)
+            return
+        self.addresses = json.loads(line)
+        self._started.set()
+
+
+class Vm(NamedTuple):
+    """The node and the backend server of one endpoint."""
+
+    spec: model.EndpointSpec
+    node: Process
+    backend: Process
+
+    @property
+    def callers(self) -> str:
+        """Address for callers, as ``ip:port``."""
+        return self.node.addresses["callers"]
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to both processes."""
+        self.node.send_signal(number)
+        self.backend.send_signal(number)
+
+
+class Options(NamedTuple):
+    """How a fleet is started.
+
+    Attributes
+    ----------
+    policies : dict of str to str
+        Options of the settings' section ``policies``.
+    """
+
+    inventory: pathlib.Path
+    rules: pathlib.Path
+    log_level: str = "WARNING"
+    policies: dict[str, str] = {}
+
+
+class Fleet:
+    """Running processes; use ``run`` to make one."""
+
+    def __init__(
+        self, options: Options, tasks: anyio.abc.TaskGroup, folder: str
+    ) -> None:
+        self.vms: dict[str, Vm] = {}
+        self.started: collections.Counter[str] = collections.Counter()
+        self.finished: collections.Counter[str] = collections.Counter()
+        self.store = ""
+        self.version = 0
+        self._options = options
+        self._tasks = tasks
+        self._folder = pathlib.Path(folder)
+        self._processes: list[Process] = []
+        sources = [
+            reader.Source(path.name, path.read_text())
+            for path in (options.inventory, options.rules)
+        ]
+        self.input = reader.read(*sources).unwrap()
+        self._regions = {
+            zone.name: zone.region for zone in self.input.inventory.zones
+        }
+
+    async def start(self) -> None:
+        """Start everything and wait until all endpoints take requests."""
+        store = await self._spawn(
+            "store", "standins.store", "--listen", LOOPBACK
+        )
+        self.store = "http://" + store.addresses["listen"]
+        specs = [
+            spec
+            for service in self.input.inventory.services
+            for spec in service.endpoints
+        ]
+        # The first nodes are the seeds of the others.
+        for spec in specs[:SEEDS]:
+            await self.start_vm(spec)
+        async with anyio.create_task_group() as tasks:
+            for spec in specs[SEEDS:]:
+                tasks.start_soon(self.start_vm, spec)
+        await self.apply("first configuration")
+        await self.wait_ready(specs)
+
+    async def start_vm(self, spec: model.EndpointSpec) -> None:
+        """Start the node and the backend server of an endpoint."""
+        node = await self._start_node(spec)
+        backend = await self._spawn(
+            f"{spec.name} backend server",
+            "standins.backend",
+            f"--node={node.addresses['backend']}",
+            f"--service={spec.service}",
+            f"--endpoint={spec.name}",
+            f"--slots={spec.slots}",
+            f"--connections={spec.connections}",
+            "--trace",
+        )
+        self.vms[spec.name] = Vm(spec, node, backend)
+
+    async def apply(self, reason: str) -> None:
+        """Put the inventory and the rules into force."""
+        async with client_of(self.store) as store:
+            change = changes.Change(
+                change_id=f"change-{self.version + 1}",
+                author="fleet",
+                origin="loopback",
+                reason=reason,
+                base_version=self.version,
+                objects=objects.split(*self.input),
+                difference=(),
+            )
+            applied = await changes.apply(store, change)
+            if not isinstance(applied, returns.result.Success):
+                raise FleetError(f"apply: {applied.failure()}")
+            self.version += 1
+
+    async def wait_ready(self, specs: list[model.EndpointSpec]) -> None:
+        """Wait until every node sees all these endpoints."""
+        wanted = {spec.name for spec in specs}
+        try:
+            with anyio.fail_after(START_TIMEOUT_S):
+                async with httpx.AsyncClient() as http:
+                    for vm in list(self.vms.values()):
+                        while not await _sees(http, vm, wanted):
+                            await anyio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:
+            raise FleetError("the endpoints did not become ready") from None
+
+    async def stop(self) -> None:
+        """End all processes."""
+        for process in self._processes:
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGKILL)
+        for process in self._processes:
+            await process.wait()
+
+    async def _start_node(self, spec: model.EndpointSpec) -> Process:
+        seeds = [
+            vm.node.addresses["nodes"]
+            for vm in list(self.vms.values())[:SEEDS]
+        ]
+        policies = "\n".join(
+            f"{name} = {value}"
+            for name, value in self._options.policies.items()
+        )
+        path = self._folder / f"{spec.name}-{len(self._processes)}.ini"
+        path.write_text(
+            SETTINGS.format(
+                node_id=f"node-{spec.name}",
+                zone=spec.zone,
+                region=self._regions[spec.zone],
+                log_level=self._options.log_level,
+                seeds=", ".join(seeds),
+                key=FLEET_KEY,
+                connections=spec.connections,
+                store=self.store,
+                policies=policies,
+            )
+        )
+        return await self._spawn(
+            f"{spec.name} node",
+            "clementinekeel",
+            "node",
+            "--settings",
+            str(path),
+        )
+
+    async def _spawn(self, name: str, module: str, *arguments: str) -> Process:
+        opened = await anyio.open_process(
+            [sys.executable, "-m", module, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=None,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        process = Process(name, opened, self._on_trace)
+        self._processes.append(process)
+        self._tasks.start_soon(process.read)
+        await process.wait_started()
+        return process
+
+    def _on_trace(self, line: str) -> None:
+        """Count the runs that backend servers report.
+
+        They are read from a pipe, so that the runs of a killed backend
+        server are counted too.
+        """
+        kind, _, run = line.partition(" ")
+        if kind == "started":
+            self.started[run] += 1
+        elif kind == "finished":
+            self.finished[run] += 1
+
+
+@contextlib.asynccontextmanager
+async def run(options: Options) -> AsyncIterator[Fleet]:
+    """Start a fleet, and end it with the context."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(options, tasks, folder)
+            try:
+                await fleet.start()
+                yield fleet
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await fleet.stop()
+            tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def client_of(url: str) -> AsyncIterator[client.StoreClient]:
+    """Return a client of the store."""
+    store = client.StoreClient([url])
+    try:
+        yield store
+    finally:
+        await store.close()
+
+
+async def _sees(http: httpx.AsyncClient, vm: Vm, wanted: set[str]) -> bool:
+    try:
+        answer = await http.get(
+            f"http://{vm.node.addresses['operators']}/v1/fleet"
+        )
+    except httpx.HTTPError:
+        return False
+    if answer.status_code != 200:
+        return False
+    content: dict[str, Any] = answer.json()
+    ready = {
+        item["endpoint"]
+        for item in content["endpoints"]
+        if item["state"] == "ready"
+    }
+    return wanted <= ready
