Report missing limits without faults that follow from them

Cause: rules without limits were also reported to have an unknown default class, which is the empty name put in for the missing option. Change: problems of the limits are left out when the limits could not be read. Conclusion: each fault is reported once.

--- a/src/clementinekeel/configuration/reader.py
+++ b/src/clementinekeel/configuration/reader.py
@@ -211,10 +211,11 @@
         ranks = {item.name: item.rank for item in classes}
         operations = self._operations(ranks)
         limits = self.values("limits")
+        has_limits = limits is not None
         if limits is None:
             # Only for the other checks; the file already has a fault.
             limits = {
-                "default_class": classes[0].name if classes else "",
+                "default_class": "",
                 "default_deadline_ms": 1,
                 "retry_allowance": 0,
                 "retry_budget_share": 0.0,
@@ -222,7 +223,10 @@
             }
         limits["objective"] = model.Objective(limits["objective"])
         rules = model.Rules(classes=classes, operations=operations, **limits)
-        self.report(checks.check_rules(rules, services))
+        problems = checks.check_rules(rules, services)
+        if not has_limits:
+            problems = [item for item in problems if item.section != "limits"]
+        self.report(problems)
         return rules
 
     def _classes(self) -> tuple[model.RequestClass, ...]:
--- a/tests/configuration/test_reader.py
+++ b/tests/configuration/test_reader.py
@@ -301,3 +301,10 @@
     assert text == sources[0].text
     again = reader.read_inventory(reader.Source("again", text)).unwrap()
     assert again == inventory
+
+
+def test_missing_limits_cause_no_further_faults():
+    """A fault that follows from another one misleads."""
+    faults = faults_of(read(rules="[limits]\n"))
+    assert len(faults) == 5
+    assert all(fault.endswith("missing") for fault in faults)
