Add the operators' commands, admin API and metrics

Cause: operators had no way to change the configuration, to drain an endpoint or to see the state of a node. Ruled out: drains through any node, since only the node beside an endpoint can refuse its work and members do not publish the operators' address; a node refuses a drain of another endpoint. PlatformStore has only met a stand-in of clementinekeel.platform.changes, and the node command only one of clementinekeel.daemon.main.

--- /dev/null
+++ b/src/clementinekeel/operators/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the operators."""
--- /dev/null
+++ b/src/clementinekeel/operators/cli/_command.py
@@ -0,0 +1,262 @@
+"""What all commands share: output, exit codes, options and clients."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+import contextlib
+import pathlib
+from typing import Any, ClassVar, NamedTuple
+
+import anyio
+from cleo.commands import command
+from cleo.exceptions import CleoUserError
+from cleo.helpers import option
+from cleo.io.outputs import output
+import msgspec
+from returns import result
+
+from clementinekeel.configuration import reader
+from clementinekeel.operators import node_client
+from clementinekeel.operators import store_access
+from clementinekeel.operators.cli import exit_codes
+from clementinekeel.runtime import ini
+from clementinekeel.runtime import settings
+
+ExitCode = exit_codes.ExitCode
+
+JSON_OPTION = option("json", None, "Write JSON instead of text.")
+STORE_OPTIONS = [
+    option(
+        "store",
+        None,
+        "URL of the store; can be repeated.",
+        flag=False,
+        multiple=True,
+    ),
+    option(
+        "settings",
+        None,
+        "Settings of a node, to take the store's URLs from.",
+        flag=False,
+    ),
+]
+NODE_OPTION = option(
+    "node", None, "ip:port of a node's operators port.", flag=False
+)
+INPUT_OPTIONS = [
+    option("inventory", None, "Inventory (INI).", flag=False),
+    option("rules", None, "Rules (INI).", flag=False),
+]
+
+StoreOpener = Callable[
+    [Sequence[str]],
+    contextlib.AbstractAsyncContextManager[store_access.Store],
+]
+NodeOpener = Callable[
+    [str], contextlib.AbstractAsyncContextManager[node_client.NodeClient]
+]
+
+
+class Clients(NamedTuple):
+    """How commands reach the store and the nodes."""
+
+    open_store: StoreOpener = store_access.connect
+    open_node: NodeOpener = node_client.connect
+
+
+class CommandError(Exception):
+    """Ends a command.
+
+    Parameters
+    ----------
+    code : ExitCode
+        Exit code of the command.
+    lines : iterable of str
+        Report for people, written to standard error.
+    data : mapping
+        Report in JSON; by default the lines.
+    """
+
+    def __init__(
+        self,
+        code: ExitCode,
+        lines: Iterable[str],
+        data: Mapping[str, Any] | None = None,
+    ) -> None:
+        self.code = code
+        self.lines = list(lines)
+        self.data = data or {"error": " ".join(self.lines)}
+        super().__init__(" ".join(self.lines))
+
+
+class OperatorCommand(command.Command):
+    """A command with output for people and in JSON."""
+
+    examples: ClassVar[tuple[str, ...]] = ()
+    _clients = Clients()
+
+    def __init__(self, clients: Clients | None = None) -> None:
+        if clients is not None:
+            self._clients = clients
+        lines = ["<b>Examples:</b>"]
+        lines += [f"  clementinekeel {example}" for example in self.examples]
+        self.help = "\n".join([*lines, "", exit_codes.EXPLANATION])
+        super().__init__()
+
+    def handle(self) -> int:
+        """Run the command and return its exit code."""
+        try:
+            return int(anyio.run(self.run_command))
+        except CommandError as error:
+            self.emit_error(error)
+            return int(error.code)
+        except (
+            node_client.UnreachableError,
+            store_access.StoreUnavailableError,
+        ) as error:
+            failure = CommandError(ExitCode.UNREACHABLE, [str(error)])
+        except node_client.RefusalError as error:
+            failure = CommandError(ExitCode.REFUSED, [str(error)])
+        self.emit_error(failure)
+        return int(failure.code)
+
+    async def run_command(self) -> ExitCode:
+        """Do the work of the command."""
+        raise NotImplementedError
+
+    def emit(self, lines: Iterable[str], data: object) -> None:
+        """Write the report, as text or as JSON."""
+        if self.option("json"):
+            encoded = msgspec.json.encode(to_plain(data))
+            lines = [msgspec.json.format(encoded).decode()]
+            self._write(self.io.output, lines)
+        else:
+            self._write(self.io.output, map(printable, lines))
+
+    def emit_error(self, error: CommandError) -> None:
+        """Write why the command ends without having done its work."""
+        if self.option("json"):
+            self.emit([], error.data)
+        else:
+            self._write(self.io.error_output, map(printable, error.lines))
+
+    def required(self, name: str) -> str:
+        """Return the value of an option that must be given."""
+        value = self.option(name)
+        if not value:
+            raise CleoUserError(f'The option "--{name}" is missing.')
+        return str(value)
+
+    def open_store(
+        self,
+    ) -> contextlib.AbstractAsyncContextManager[store_access.Store]:
+        """Open the store that the options name."""
+        urls = list(self.option("store"))
+        if not urls and self.option("settings"):
+            urls = list(load_settings(self.option("settings")).platform.urls)
+        if not urls:
+            raise CleoUserError('Give "--store" or "--settings".')
+        return self._clients.open_store(urls)
+
+    def open_node(
+        self,
+    ) -> contextlib.AbstractAsyncContextManager[node_client.NodeClient]:
+        """Open the node that the options name."""
+        address = self.required("node")
+        try:
+            ini.ADDRESS.parse(address)
+        except ValueError as error:
+            raise CleoUserError(f'The option "--node": {error}.') from error
+        return self._clients.open_node(address)
+
+    def number(self, name: str, low: int, high: int) -> int:
+        """Return the value of an option that is an integer."""
+        try:
+            return int(ini.integer(low, high).parse(self.required(name)))
+        except ValueError as error:
+            raise CleoUserError(f'The option "--{name}": {error}.') from error
+
+    def _write(self, target: output.Output, lines: Iterable[str]) -> None:
+        for line in lines:
+            # Raw, since data may look like cleo's markup.
+            target.write(line, new_line=True, type=output.Type.RAW)
+
+
+def read_input(inventory: str, rules: str) -> reader.Input:
+    """Read inventory and rules from files.
+
+    Raises
+    ------
+    CommandError
+        With all faults of both files.
+    """
+    outcome = reader.read(load_source(inventory), load_source(rules))
+    if isinstance(outcome, result.Failure):
+        raise faulty(outcome.failure())
+    return outcome.unwrap()
+
+
+def load_settings(path: str) -> settings.Settings:
+    """Read the settings of a node; raises as ``read_input`` does."""
+    outcome = settings.load(path)
+    if isinstance(outcome, result.Failure):
+        raise faulty(outcome.failure())
+    return outcome.unwrap()
+
+
+def load_source(path: str) -> reader.Source:
+    """Read a file; raises as ``read_input`` does."""
+    try:
+        # newline="" leaves line breaks inside quoted CSV cells unchanged.
+        with pathlib.Path(path).open(encoding="utf-8", newline="") as file:
+            return reader.Source(path, file.read())
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        raise faulty((ini.Fault(path, 0, "", "", reason),)) from error
+
+
+def write_file(path: str, text: str) -> None:
+    """Write a file; raises as ``read_input`` does."""
+    try:
+        pathlib.Path(path).write_text(text, encoding="utf-8")
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise faulty((ini.Fault(path, 0, "", "", reason),)) from error
+
+
+def faulty(faults: Iterable[ini.Fault]) -> CommandError:
+    """Return the error that reports faults of files."""
+    listed = list(faults)
+    lines = [str(fault) for fault in listed]
+    return CommandError(ExitCode.REFUSED, lines, {"faults": listed})
+
+
+def columns(
+    header: Sequence[str], rows: Iterable[Sequence[object]]
+) -> list[str]:
+    """Return a table as aligned lines."""
+    cells = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = []
+    for row in cells:
+        padded = zip(row, widths, strict=True)
+        lines.append("  ".join(c.ljust(w) for c, w in padded).rstrip())
+    return lines
+
+
+def printable(line: str) -> str:
+    """Return a line without control characters.
+
+    Request ids and names come from other parties and could otherwise
+    control the terminal.
+    """
+    return "".join(c if c.isprintable() else ascii(c)[1:-1] for c in line)
+
+
+def to_plain(value: Any) -> Any:
+    """Return a value with NamedTuples as dictionaries, for JSON."""
+    if hasattr(value, "_asdict"):
+        return {k: to_plain(item) for k, item in value._asdict().items()}
+    if isinstance(value, Mapping):
+        return {key: to_plain(item) for key, item in value.items()}
+    if isinstance(value, tuple | list):
+        return [to_plain(item) for item in value]
+    return value
--- /dev/null
+++ b/src/clementinekeel/operators/cli/apply.py
@@ -0,0 +1,140 @@
+"""``clementinekeel apply``: change the configuration."""
+
+import getpass
+import socket
+import uuid
+
+from cleo.exceptions import CleoUserError
+from cleo.helpers import option
+
+from clementinekeel.configuration import objects
+from clementinekeel.operators import node_client
+from clementinekeel.operators import store_access
+from clementinekeel.operators.cli import _changes
+from clementinekeel.operators.cli import _command
+from clementinekeel.runtime import clock
+
+MAX_VERSION = 2**53
+MAX_TIMEOUT_S = 3_600
+POLL_INTERVAL_MS = 500
+
+
+class ApplyCommand(_command.OperatorCommand):
+    """Check inventory and rules and make them the next version."""
+
+    name = "apply"
+    description = "Make inventory and rules the next version."
+    options = [
+        *_command.INPUT_OPTIONS,
+        option("reason", None, "Reason, for the audit trail.", flag=False),
+        option(
+            "base-version",
+            None,
+            "Version that the files were made from. Without it, the accepted"
+            " version is replaced, whatever it is.",
+            flag=False,
+        ),
+        option(
+            "change-id",
+            None,
+            "Id of an earlier attempt, to repeat it.",
+            flag=False,
+        ),
+        option("author", None, "Author, for the audit trail.", flag=False),
+        option(
+            "wait", None, "Wait until the version is in force at all nodes."
+        ),
+        option(
+            "timeout",
+            None,
+            "Longest wait in seconds.",
+            flag=False,
+            default="30",
+        ),
+        _command.NODE_OPTION,
+        *_command.STORE_OPTIONS,
+        _command.JSON_OPTION,
+    ]
+    examples = (
+        "apply --inventory inventory.ini --rules rules.ini"
+        " --reason 'first inventory' --store http://192.0.2.10:2379",
+        "apply --inventory inventory.ini --rules rules.ini"
+        " --reason 'VM replaced' --base-version 41 --settings node.ini"
+        " --wait --node 192.0.2.21:7003",
+    )
+
+    async def run_command(self) -> _command.ExitCode:
+        """Apply the change and report what became of it."""
+        reason = self.required("reason")
+        if self.option("wait") and not self.option("node"):
+            raise CleoUserError('"--wait" needs "--node".')
+        timeout_s = self.number("timeout", 0, MAX_TIMEOUT_S)
+        value = _command.read_input(
+            self.required("inventory"), self.required("rules")
+        )
+        proposed = objects.split(value.inventory, value.rules)
+        async with self.open_store() as store:
+            report = await self._apply(store, proposed, reason)
+        if self.option("wait"):
+            report = await self._wait(report, timeout_s)
+        self.emit(report.lines, report.data)
+        return _command.ExitCode.DONE
+
+    async def _apply(
+        self,
+        store: store_access.Store,
+        proposed: dict[str, bytes],
+        reason: str,
+    ) -> _changes.Report:
+        change_id = self.option("change-id") or uuid.uuid4().hex
+        if self.option("change-id"):
+            outcome = await store.settle(change_id)
+            if isinstance(outcome, store_access.Accepted):
+                return _changes.accepted(outcome.version, change_id, ())
+        snapshot = await store.load()
+        base = snapshot.version
+        if self.option("base-version"):
+            base = self.number("base-version", 0, MAX_VERSION)
+        if base != snapshot.version:
+            raise await _changes.conflict(
+                store, base, snapshot.version, proposed
+            )
+        difference = objects.difference(snapshot.objects, proposed)
+        if not difference:
+            return _changes.unchanged(base)
+        proposal = store_access.Proposal(
+            change_id=change_id,
+            author=self.option("author") or getpass.getuser(),
+            origin=socket.gethostname(),
+            reason=reason,
+            base_version=base,
+            objects=proposed,
+            difference=difference,
+        )
+        outcome = await store.apply(proposal)
+        if isinstance(outcome, store_access.Accepted):
+            return _changes.accepted(outcome.version, change_id, difference)
+        if isinstance(outcome, store_access.Conflict):
+            raise await _changes.conflict(
+                store, base, outcome.version, proposed
+            )
+        raise _changes.failure(outcome, change_id)
+
+    async def _wait(
+        self, report: _changes.Report, timeout_s: int
+    ) -> _changes.Report:
+        deadline_ms = clock.now_ms() + timeout_s * clock.MS_PER_S
+        async with self.open_node() as node:
+            while True:
+                try:
+                    fleet = await node.fleet()
+                except node_client.UnreachableError as error:
+                    # The change itself is accepted, which exit code 4
+                    # would hide.
+                    raise _changes.not_in_force(report, str(error)) from error
+                behind = _changes.behind(fleet, report.version)
+                if not behind:
+                    return _changes.in_force(report, fleet)
+                if clock.now_ms() >= deadline_ms:
+                    raise _changes.not_in_force(report, *behind)
+                await clock.sleep_ms(POLL_INTERVAL_MS)
--- /dev/null
+++ b/src/clementinekeel/operators/cli/diff.py
@@ -0,0 +1,34 @@
+"""``clementinekeel diff``: what files would change."""
+
+from clementinekeel.configuration import objects
+from clementinekeel.operators.cli import _command
+
+
+class DiffCommand(_command.OperatorCommand):
+    """Show how files differ from the accepted configuration."""
+
+    name = "diff"
+    description = "Show how files differ from the accepted configuration."
+    options = [
+        *_command.INPUT_OPTIONS,
+        *_command.STORE_OPTIONS,
+        _command.JSON_OPTION,
+    ]
+    examples = (
+        "diff --inventory inventory.ini --rules rules.ini --settings node.ini",
+    )
+
+    async def run_command(self) -> _command.ExitCode:
+        """Compare the files with the store."""
+        value = _command.read_input(
+            self.required("inventory"), self.required("rules")
+        )
+        proposed = objects.split(value.inventory, value.rules)
+        async with self.open_store() as store:
+            snapshot = await store.load()
+        difference = objects.difference(snapshot.objects, proposed)
+        lines = [f"accepted version {snapshot.version}"]
+        lines += [f"  {line}" for line in difference or ("no difference",)]
+        data = {"version": snapshot.version, "difference": difference}
+        self.emit(lines, data)
+        return _command.ExitCode.DONE
--- /dev/null
+++ b/src/clementinekeel/operators/cli/draw.py
@@ -0,0 +1,46 @@
+"""``clementinekeel draw``: draw the inventory from an asset register."""
+
+from cleo.helpers import argument
+from cleo.helpers import option
+from returns import result
+
+from clementinekeel.configuration import assets
+from clementinekeel.configuration import reader
+from clementinekeel.operators.cli import _command
+
+
+class DrawCommand(_command.OperatorCommand):
+    """Draw the inventory from an asset register in CSV."""
+
+    name = "draw"
+    description = "Draw the inventory from an asset register in CSV."
+    arguments = [argument("assets", "Asset register (CSV).")]
+    options = [
+        option(
+            "output",
+            None,
+            "File to write; by default standard output.",
+            flag=False,
+        ),
+        _command.JSON_OPTION,
+    ]
+    examples = (
+        "draw assets.csv",
+        "draw assets.csv --output inventory.ini",
+    )
+
+    async def run_command(self) -> _command.ExitCode:
+        """Draw and write the inventory."""
+        outcome = assets.draw(_command.load_source(self.argument("assets")))
+        if isinstance(outcome, result.Failure):
+            raise _command.faulty(outcome.failure())
+        inventory = outcome.unwrap()
+        text = reader.write_inventory(inventory)
+        path = self.option("output")
+        if not path:
+            self.emit(text.splitlines(), inventory)
+            return _command.ExitCode.DONE
+        _command.write_file(path, text)
+        count = sum(len(item.endpoints) for item in inventory.services)
+        self.emit([f"{path}: {count} endpoints"], inventory)
+        return _command.ExitCode.DONE
--- /dev/null
+++ b/src/clementinekeel/operators/cli/show.py
@@ -0,0 +1,88 @@
+"""``clementinekeel show``: the accepted configuration."""
+
+from returns import result
+
+from clementinekeel.configuration import model
+from clementinekeel.configuration import objects
+from clementinekeel.operators import store_access
+from clementinekeel.operators.cli import _command
+
+
+class ShowCommand(_command.OperatorCommand):
+    """Show the accepted configuration."""
+
+    name = "show"
+    description = "Show the accepted configuration."
+    options = [*_command.STORE_OPTIONS, _command.JSON_OPTION]
+    examples = (
+        "show --store http://192.0.2.10:2379",
+        "show --settings node.ini --json",
+    )
+
+    async def run_command(self) -> _command.ExitCode:
+        """Show services, zones and rules."""
+        async with self.open_store() as store:
+            snapshot = await store.load()
+        if snapshot == store_access.EMPTY:
+            self.emit(["no configuration yet (version 0)"], {"version": 0})
+            return _command.ExitCode.DONE
+        outcome = objects.join(
+            snapshot.version, snapshot.change_id, snapshot.objects
+        )
+        if isinstance(outcome, result.Failure):
+            raise _command.faulty(outcome.failure())
+        configuration = outcome.unwrap()
+        self.emit(_lines(configuration), configuration)
+        return _command.ExitCode.DONE
+
+
+def _lines(configuration: model.Configuration) -> list[str]:
+    inventory = configuration.inventory
+    rules = configuration.rules
+    services = [
+        (
+            service.name,
+            len(service.endpoints),
+            sum(item.slots for item in service.endpoints),
+            len({item.zone for item in service.endpoints}),
+        )
+        for service in inventory.services
+    ]
+    operations = [
+        (
+            item.service,
+            item.name,
+            " ".join(item.methods) or "any",
+            item.path,
+            item.request_class,
+            item.rank,
+            "yes" if item.idempotent else "no",
+            item.deadline_ms,
+        )
+        for item in rules.operations
+    ]
+    return [
+        f"version {configuration.version}, change {configuration.change_id}",
+        f"objective {rules.objective},"
+        f" retry allowance {rules.retry_allowance},"
+        f" retry budget {rules.retry_budget_share:g},"
+        f" default class {rules.default_class}",
+        "",
+        *_command.columns(
+            ("service", "endpoints", "slots", "zones"), services
+        ),
+        "",
+        *_command.columns(
+            (
+                "service",
+                "operation",
+                "methods",
+                "path",
+                "class",
+                "rank",
+                "idempotent",
+                "deadline_ms",
+            ),
+            operations,
+        ),
+    ]
--- /dev/null
+++ b/src/clementinekeel/operators/cli/why.py
@@ -0,0 +1,46 @@
+"""``clementinekeel why``: why a request ended as it did."""
+
+from cleo.helpers import argument
+
+from clementinekeel.operators import status as node_status
+from clementinekeel.operators.cli import _command
+
+
+class WhyCommand(_command.OperatorCommand):
+    """Show the decisions about one request."""
+
+    name = "why"
+    description = "Show the decisions about one request."
+    arguments = [argument("request_id", "Id of the request.")]
+    options = [_command.NODE_OPTION, _command.JSON_OPTION]
+    examples = ("why 01J8ZK3F --node 192.0.2.21:7003",)
+
+    async def run_command(self) -> _command.ExitCode:
+        """Ask the node that took the request."""
+        async with self.open_node() as node:
+            report = await node.request(self.argument("request_id"))
+        self.emit(_lines(report), report)
+        return _command.ExitCode.DONE
+
+
+def _lines(report: node_status.RequestReport) -> list[str]:
+    steps = [
+        (
+            item["at_ms"],
+            item["step"],
+            item["peer"],
+            item["decision"],
+            item["reason"],
+        )
+        for item in report["steps"]
+    ]
+    repeat = "idempotent" if report["idempotent"] else "not idempotent"
+    return [
+        f"request {report['request_id']} to {report['service']}:"
+        f" {report['outcome']}",
+        f"operation {report['operation']}, class {report['request_class']},"
+        f" rank {report['rank']}, {repeat}",
+        *_command.columns(
+            ("at_ms", "step", "peer", "decision", "reason"), steps
+        ),
+    ]
--- /dev/null
+++ b/src/clementinekeel/operators/status.py
@@ -0,0 +1,111 @@
+"""What a node reports to operators."""
+
+from typing import Protocol, TypedDict
+
+from returns import result
+
+
+class MemberCount(TypedDict):
+    """Members of one zone in one state, as the node sees them."""
+
+    zone: str
+    state: str
+    members: int
+
+
+class Status(TypedDict):
+    """State of one node.
+
+    ``incarnation`` is hexadecimal, because JSON readers may round 64-bit
+    numbers. ``newest_version`` is the newest configuration that the node has
+    heard of; ``configuration_fault`` tells why it does not use it. ``level``
+    is the least important rank that is admitted. ``relays`` are the node ids
+    of the relays of the node's zone. ``records`` counts issued keys.
+    """
+
+    node: str
+    zone: str
+    region: str
+    incarnation: str
+    version: str
+    configuration_version: int
+    newest_version: int
+    configuration_fault: str
+    state: str
+    service: str
+    endpoint: str
+    slots: int
+    limit: int
+    running: int
+    queued: int
+    level: int
+    relays: list[str]
+    members: list[MemberCount]
+    unreachable_zones: list[str]
+    sessions: int
+    records: int
+    counters: dict[str, int]
+
+
+class EndpointStatus(TypedDict):
+    """An endpoint and the node beside it, from the node's directory."""
+
+    service: str
+    endpoint: str
+    zone: str
+    region: str
+    state: str
+    node: str
+    address: str
+    configuration_version: int
+
+
+class Fleet(TypedDict):
+    """All endpoints that a node knows."""
+
+    node: str
+    newest_version: int
+    unreachable_zones: list[str]
+    endpoints: list[EndpointStatus]
+
+
+class RequestStep(TypedDict):
+    """One decision about a request; ``at_ms`` counts from its arrival."""
+
+    at_ms: int
+    step: str
+    peer: str
+    decision: str
+    reason: str
+
+
+class RequestReport(TypedDict):
+    """Why a request ended as it did."""
+
+    request_id: str
+    service: str
+    operation: str
+    request_class: str
+    rank: int
+    idempotent: bool
+    outcome: str
+    steps: list[RequestStep]
+
+
+class NodeStatus(Protocol):
+    """What the admin API needs from the daemon."""
+
+    def status(self) -> Status:
+        """Return the state of the node."""
+
+    def fleet(self) -> Fleet:
+        """Return the endpoints that the node knows."""
+
+    def request(self, request_id: str) -> RequestReport | None:
+        """Return what the node did with a request, if it still knows."""
+
+    async def drain(self) -> result.Result[None, str]:
+        """Stop taking new work; a failure tells why this is not possible."""
+
+    async def undrain(self) -> result.Result[None, str]:
+        """Take new work again; a failure tells why this is not possible."""
--- /dev/null
+++ b/tests/operators/test_admin.py
@@ -0,0 +1,119 @@
+"""The admin API answers in JSON and refuses with problem details."""
+
+import httpx
+import pytest
+
+from clementinekeel.operators import metrics
+from tests.operators import fakes
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def node():
+    return fakes.FakeNode()
+
+
+@pytest.fixture
+async def client(node):
+    transport = httpx.ASGITransport(fakes.make_admin(node))
+    async with httpx.AsyncClient(
+        base_url="http://node", transport=transport
+    ) as client:
+        yield client
+
+
+async def test_status_is_complete(client):
+    response = await client.get("/v1/status")
+    assert response.json() == fakes.make_status()
+    assert response.headers["content-type"] == "application/json"
+    assert response.headers["cache-control"] == "no-store"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        pytest.param("GET", "/", 404, id="unknown path"),
+        pytest.param("GET", "/v1/requests", 404, id="no request"),
+        pytest.param("GET", "/v1/requests/", 400, id="empty request id"),
+        pytest.param(
+            "GET", "/v1/requests/" + "x" * 1025, 400, id="long request id"
+        ),
+        pytest.param("GET", "/v1/requests/r9", 404, id="unknown request"),
+        pytest.param("POST", "/v1/status", 405, id="wrong method"),
+        pytest.param("GET", "/v1/fleet?node=n1", 400, id="unknown filter"),
+        pytest.param("PUT", "/v1/drain?endpoint=x", 409, id="other endpoint"),
+    ],
+)
+async def test_refusals_are_problem_details(
+    client, node, method, path, status
+):
+    response = await client.request(method, path)
+    assert response.status_code == status
+    assert response.headers["content-type"] == "application/problem+json"
+    problem = response.json()
+    assert problem["status"] == status
+    assert problem["title"] and problem["detail"]
+    assert ("allow" in response.headers) == (status == 405)
+    assert node.state["state"] == "ready"
+
+
+async def test_drain_that_is_not_possible(client, node):
+    node.drain_fault = "the node stops"
+    response = await client.delete("/v1/drain")
+    assert response.status_code == 409
+    assert response.json()["detail"] == "the node stops"
+
+
+async def test_lifespan_is_answered(node):
+    """A server waits for these answers before it serves."""
+    received = iter(
+        [{"type": f"lifespan.{s}"} for s in ("startup", "shutdown")]
+    )
+    sent = []
+
+    async def receive():
+        return next(received)
+
+    async def send(message):
+        sent.append(message["type"])
+
+    await fakes.make_admin(node)({"type": "lifespan"}, receive, send)
+    assert sent == ["lifespan.startup.complete", "lifespan.shutdown.complete"]
+
+
+async def test_metrics_follow_the_status(client, node):
+    """A zone that is gone must not keep its last number of members."""
+    await client.get("/metrics")
+    node.state["members"] = [{"zone": "z2", "state": "ready", "members": 3}]
+    lines = (await client.get("/metrics")).text.splitlines()
+    assert "clementinekeel_limit 18" in lines
+    assert "clementinekeel_relay 1" in lines
+    assert 'clementinekeel_state{state="ready"} 1' in lines
+    assert 'clementinekeel_members{state="ready",zone="z1"} 0' in lines
+    assert 'clementinekeel_members{state="ready",zone="z2"} 3' in lines
+
+
+def test_counters_and_histograms():
+    counted = metrics.NodeMetrics()
+    for outcome in ("completed", "refused"):
+        counted.add("requests_total", request_class="lookup", outcome=outcome)
+    counted.observe("request_seconds", 0.02, request_class="lookup")
+    assert counted.totals()["requests_total"] == 2
+    text = counted.render()[0].decode()
+    assert 'outcome="refused",request_class="lookup"} 1' in text
+    assert 'request_seconds_count{request_class="lookup"} 1' in text
+
+
+@pytest.mark.parametrize(
+    ("name", "labels"),
+    [
+        pytest.param("requests", {}, id="unknown metric"),
+        pytest.param("requests_total", {"outcome": "x"}, id="label missing"),
+        pytest.param("keys_issued_total", {"zone": "x"}, id="other label"),
+    ],
+)
+def test_undeclared_metrics_are_rejected(name, labels):
+    """The reference would not describe such a metric."""
+    with pytest.raises(LookupError):
+        metrics.NodeMetrics().add(name, **labels)
--- /dev/null
+++ b/tests/operators/test_cli.py
@@ -0,0 +1,306 @@
+"""Commands report what became of them by text, JSON and exit code."""
+
+import json
+import pathlib
+import sys
+import types
+
+from cleo.testers import application_tester
+import pytest
+
+from clementinekeel.operators import store_access
+from clementinekeel.operators.cli import application
+from tests.operators import fakes
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+OFFICE = EXAMPLES / "office"
+FILES = f"--inventory {OFFICE}/inventory.ini --rules {OFFICE}/rules.ini"
+STORE = "--store http://127.0.0.1:2379"
+NODE = "--node 127.0.0.1:7003"
+APPLY = f"apply {FILES} {STORE} --reason first --author ann"
+
+
+@pytest.fixture
+def store():
+    return fakes.FakeStore()
+
+
+@pytest.fixture
+def node():
+    return fakes.FakeNode()
+
+
+@pytest.fixture
+def run(store, node):
+    """Return a function that runs a command: code, output, errors."""
+
+    def run(arguments):
+        built = application.build(fakes.make_clients(store, node))
+        tester = application_tester.ApplicationTester(built)
+        code = tester.execute(arguments)
+        return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+    return run
+
+
+@pytest.mark.parametrize("name", application.NAMES)
+def test_help_has_examples_and_exit_codes(run, name):
+    code, output, _ = run(f"{name} --help")
+    assert code == 0
+    assert f"clementinekeel {name}" in output
+    assert "not known yet" in output
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        pytest.param("aply", id="unknown command"),
+        pytest.param("show --colour", id="unknown option"),
+        pytest.param("show", id="no store"),
+        pytest.param("change", id="no id"),
+        pytest.param("check", id="no file"),
+        pytest.param("check --rules rules.ini", id="rules without inventory"),
+        pytest.param(f"apply {FILES} {STORE}", id="no reason"),
+        pytest.param(f"{APPLY} --wait", id="wait without node"),
+        pytest.param(f"{APPLY} --base-version x", id="version no number"),
+        pytest.param(f"history {STORE} --limit 0", id="limit out of bounds"),
+        pytest.param("fleet --node localhost:1", id="node is no address"),
+        pytest.param("node", id="no settings"),
+    ],
+)
+def test_wrong_usage(run, store, arguments):
+    """A script must be able to tell wrong usage from a refusal."""
+    code, output, errors = run(arguments)
+    assert (code, output) == (2, "")
+    assert errors.startswith("usage: ")
+    assert store.snapshot == store_access.EMPTY
+
+
+def test_check_reports_all_faults(run, tmp_path):
+    rules = tmp_path / "rules.ini"
+    rules.write_text("[limits]\n")
+    settings = tmp_path / "node.ini"
+    settings.write_text("")
+    inventory = OFFICE / "inventory.ini"
+    files = f"--settings {settings} --inventory {inventory} --rules {rules}"
+    code, output, errors = run(f"check {files}")
+    assert (code, output) == (1, "")
+    assert len(errors.splitlines()) == 9 + 5
+    code, output, _ = run(f"check {files} --json")
+    assert code == 1
+    assert json.loads(output)["faults"][-1]["section"] == "limits"
+    assert run(f"check {FILES}")[0] == 0
+
+
+def test_draw_writes_the_committed_inventory(run, tmp_path):
+    path = tmp_path / "inventory.ini"
+    code, output, _ = run(f"draw {OFFICE}/assets.csv --output {path}")
+    assert (code, output) == (0, f"{path}: 16 endpoints\n")
+    committed = (OFFICE / "inventory.ini").read_text()
+    assert path.read_text() == committed
+    assert run(f"draw {OFFICE}/assets.csv")[1] == committed
+    assert run(f"draw {tmp_path}/none.csv")[0] == 1
+
+
+def test_apply_show_diff_history(run, store):
+    code, output, _ = run(APPLY)
+    assert code == 0
+    assert output.startswith("accepted as version 1, change ")
+    assert "service/bookings: added" in output
+    assert run(APPLY)[1].startswith("version 1 already holds this")
+    assert store.snapshot.version == 1
+    assert "book-seat" in run(f"show {STORE}")[1]
+    assert "no difference" in run(f"diff {FILES} {STORE}")[1]
+    shown = json.loads(run(f"show {STORE} --json")[1])
+    assert len(shown["inventory"]["services"]) == 4
+    code, output, _ = run(f"history {STORE} --json")
+    (entry,) = json.loads(output)["changes"]
+    assert (entry["author"], entry["reason"]) == ("ann", "first")
+    code, output, _ = run(f"change {entry['change_id']} {STORE}")
+    assert (code, "was accepted as 1" in output) == (0, True)
+
+
+def concurrent_change(store):
+    def change():
+        store.before_apply = lambda: None
+        store.accept(
+            store_access.Proposal("c9", "bob", "h", "VM", 0, {}, ("x",))
+        )
+
+    return change
+
+
+def test_conflict_names_the_other_operator(run, store):
+    """Of two concurrent changes, the later one must not replace the other."""
+    store.before_apply = concurrent_change(store)
+    code, output, errors = run(APPLY)
+    assert (code, output) == (1, "")
+    assert "based on version 0, accepted is 1" in errors
+    assert "version 1 by bob from h: VM" in errors
+    assert "service/bookings: added" in errors
+    assert store.snapshot.change_id == "c9"
+
+
+def test_outdated_base_version_is_a_conflict(run, store):
+    """Files made from an older version must not undo a newer one."""
+    concurrent_change(store)()
+    code, _, errors = run(f"{APPLY} --base-version 0")
+    assert (code, "by bob" in errors) == (1, True)
+    assert store.snapshot.change_id == "c9"
+
+
+def test_lost_answer_is_settled_and_not_applied_twice(run, store):
+    """A lost answer is neither a success nor a refusal."""
+    store.loses_answer = True
+    code, output, errors = run(f"{APPLY} --change-id c1")
+    assert (code, output) == (3, "")
+    assert "clementinekeel change c1" in errors
+    assert run(f"change c1 {STORE}")[0] == 3
+    store.is_down = False
+    assert run(f"change c1 {STORE}")[0] == 0
+    # The base version is outdated by the change itself.
+    code, output, _ = run(f"{APPLY} --change-id c1 --base-version 0")
+    assert (code, output) == (0, "accepted as version 1, change c1\n")
+    assert store.snapshot.version == 1
+    assert run(f"change c2 {STORE}")[0] == 1
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        pytest.param(APPLY, id="apply"),
+        pytest.param(f"show {STORE}", id="show"),
+        pytest.param(f"history {STORE}", id="history"),
+        pytest.param(f"fleet {NODE}", id="fleet"),
+        pytest.param(f"drain bookings-1 {NODE}", id="drain"),
+        pytest.param(f"why r1 {NODE}", id="why"),
+    ],
+)
+def test_unreachable_peer(run, store, node, arguments):
+    store.is_down = node.is_down = True
+    code, output, errors = run(arguments)
+    assert (code, output) == (4, "")
+    assert errors
+
+
+def test_wait_until_in_force(run, node):
+    node.state["newest_version"] = 1
+    code, output, _ = run(f"{APPLY} --wait {NODE}")
+    assert code == 0
+    assert "in force at 2 endpoints" in output
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected"),
+    [
+        pytest.param(
+            lambda node: node.endpoints.append(
+                fakes.make_endpoint("sales-2", 0)
+            ),
+            "sales-2 at node-sales-2 (z1): version 0",
+            id="node behind",
+        ),
+        pytest.param(
+            lambda node: node.state.update(unreachable_zones=["z2"]),
+            "zone z2 is unreachable",
+            id="zone unreachable",
+        ),
+        pytest.param(
+            lambda node: setattr(node, "is_down", True),
+            "connection refused",
+            id="node unreachable after the change",
+        ),
+    ],
+)
+def test_wait_that_ends_early(run, node, fault, expected):
+    """An accepted change must not look refused, nor in force."""
+    fault(node)
+    code, _, errors = run(f"{APPLY} --wait {NODE} --timeout 0")
+    assert code == 3
+    assert "accepted as version 1" in errors
+    assert expected in errors
+
+
+def test_fleet_and_endpoint(run):
+    code, output, _ = run(f"fleet {NODE}")
+    assert code == 0
+    assert "3 (behind)" in output
+    code, output, _ = run(f"fleet {NODE} --service sales --json")
+    assert [e["endpoint"] for e in json.loads(output)["endpoints"]] == [
+        "sales-1"
+    ]
+    assert "slots: 20" in run(f"endpoint bookings-1 {NODE}")[1]
+    assert "slots" not in run(f"endpoint sales-1 {NODE}")[1]
+    assert run(f"endpoint none-1 {NODE}")[0] == 1
+
+
+def test_drain_and_undrain(run, node):
+    code, output, _ = run(f"drain bookings-1 {NODE}")
+    assert (code, "is leaving" in output) == (0, True)
+    assert run(f"undrain bookings-1 {NODE}")[0] == 0
+    assert node.state["state"] == "ready"
+
+
+def test_drain_at_another_node_is_refused(run, node):
+    """A drain sent to the wrong node must not drain that node."""
+    code, _, errors = run(f"drain sales-1 {NODE}")
+    assert code == 1
+    assert "serves 'bookings-1', not 'sales-1'" in errors
+    assert node.state["state"] == "ready"
+
+
+def test_why(run, node):
+    """Data of other parties must not control the terminal."""
+    node.reports["r/1"] = {
+        "request_id": "r/1",
+        "service": "bookings",
+        "operation": "book-seat",
+        "request_class": "booking",
+        "rank": 0,
+        "idempotent": False,
+        "outcome": "refused",
+        "steps": [
+            {
+                "at_ms": 2,
+                "step": "admission",
+                "peer": "n1\x1b[2J<info>",
+                "decision": "refused",
+                "reason": "overload",
+            }
+        ],
+    }
+    code, output, _ = run(f"why r/1 {NODE}")
+    assert code == 0
+    assert "n1\\x1b[2J<info>  refused   overload" in output
+    assert run(f"why r2 {NODE}")[0] == 1
+
+
+def test_node_runs_the_daemon_with_checked_settings(
+    run, tmp_path, monkeypatch
+):
+    seen = []
+    main = types.ModuleType("clementinekeel.daemon.main")
+    main.run = seen.append
+    monkeypatch.setitem(sys.modules, "clementinekeel.daemon.main", main)
+    path = tmp_path / "node.ini"
+    path.write_text("[node]\nid = n1\n")
+    assert run(f"node --settings {path}")[0] == 1
+    assert seen == []
+    path.write_text(
+        "[node]\nid = n1\nzone = z\nregion = r\n"
+        f"[nodes]\nlisten = 127.0.0.1:0\nkeys = {'00' * 16}\n"
+        "[callers]\nlisten = 127.0.0.1:0\n"
+        "[backend]\nlisten = 127.0.0.1:0\n"
+        "[operators]\nlisten = 127.0.0.1:0\n"
+        "[platform]\nurls = http://127.0.0.1:1\n"
+    )
+    assert run(f"node --settings {path}")[0] == 0
+    assert seen[0].node.id == "n1"
+
+
+def test_store_urls_come_from_the_settings(run, store, tmp_path):
+    path = tmp_path / "node.ini"
+    path.write_text("[platform]\nurls = x\n")
+    assert run(f"show --settings {path}")[0] == 1
+    run(f"show --store http://a --store http://b --settings {path}")
+    assert store.urls == ("http://a", "http://b")
