--- a/src/clementinekeel/configuration/objects.py
+++ b/src/clementinekeel/configuration/objects.py
@@ -11,9 +11,9 @@
 from clementinekeel.configuration import reader
 from clementinekeel.runtime import ini
 
-ZONES = "zones"
-LINKS = "links"
-RULES = "rules"
+ZONES = "topology/zones"
+LINKS = "topology/links"
+RULES = "policy/rules"
 SERVICE_PREFIX = "service/"
 _FIXED_TYPES: dict[str, Any] = {
     ZONES: tuple[model.Zone, ...],
--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -1,6 +1,6 @@
 """The node: its parts and how they are connected."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 import random as random_module
 import secrets
 import socket
@@ -163,7 +163,7 @@
         self.is_draining = is_draining
         self._follow_state()
 
-    def _tasks(self) -> list[Callable[[], Awaitable[None]]]:
+    def _tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
         return [
             self.server.run,
             self.sessions.run,
--- a/src/clementinekeel/daemon/relaying.py
+++ b/src/clementinekeel/daemon/relaying.py
@@ -97,7 +97,7 @@
 
         own = self._membership.own
         task = relay.RelayTask(
-            client.StoreClient(list(self._urls)),
+            client.StoreClient(list(self._urls), self._random),
             self._on_snapshot,
             own.address,
             own.zone,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
@@ -189,7 +190,7 @@
         store = await self._spawn(
             "store", "standins.store", "--listen", LOOPBACK
         )
-        self.store = "http://" + store.addresses["listen"]
+        self.store = "http://" + store.addresses["listening"]
         specs = [
             spec
             for service in self.input.inventory.services
@@ -221,7 +222,7 @@
 
     async def apply(self, reason: str) -> None:
         """Put the inventory and the rules into force."""
-        async with client_of(self.store) as store:
+        async with client.StoreClient([self.store], random.Random()) as store:
             change = changes.Change(
                 change_id=f"change-{self.version + 1}",
                 author="fleet",
@@ -329,16 +330,6 @@
             tasks.cancel_scope.cancel()
 
 
-@contextlib.asynccontextmanager
-async def client_of(url: str) -> AsyncIterator[client.StoreClient]:
-    """Return a client of the store."""
-    store = client.StoreClient([url])
-    try:
-        yield store
-    finally:
-        await store.close()
-
-
 async def _sees(http: httpx.AsyncClient, vm: Vm, wanted: set[str]) -> bool:
     try:
         answer = await http.get(
--- a/tests/configuration/test_objects.py
+++ b/tests/configuration/test_objects.py
@@ -92,7 +92,7 @@
     ("damage", "expected"),
     [
         pytest.param(
-            lambda p: {k: v for k, v in p.items() if k != "rules"},
+            lambda p: {k: v for k, v in p.items() if k != objects.RULES},
             "rules: missing object",
             id="missing object",
         ),
@@ -102,7 +102,7 @@
             id="unknown object",
         ),
         pytest.param(
-            lambda p: {**p, "zones": p["zones"][:-1]},
+            lambda p: {**p, objects.ZONES: p[objects.ZONES][:-1]},
             "zones: Input data was truncated",
             id="truncated object",
         ),
@@ -127,7 +127,9 @@
             id="slots out of bounds",
         ),
         pytest.param(
-            lambda p: change(p, "rules", b'"booking",0]', b'"booking",1]'),
+            lambda p: change(
+                p, objects.RULES, b'"booking",0]', b'"booking",1]'
+            ),
             "objects [operation book-lot] class:"
             " rank 0 is not the rank of its class",
             id="rank differs from the class",
