--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -75,6 +75,8 @@
         self._random = random_module.Random(secrets.randbits(64))
         self._stop_requested = anyio.Event()
         self._shutdown = anyio.Event()
+        self._http_ended = anyio.Event()
+        self._serving = 0
         self._context: zmq.Context[Any] = zmq.Context()
         self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self._admission_endpoint = ""
@@ -148,8 +150,9 @@
             self._serve_http(tasks)
             await self._stop_requested.wait()
             await self._drain()
-            self._shutdown.set()
             await clock.sleep_ms(LEAVING_NOTICE_MS)
+            self._shutdown.set()
+            await self._http_ended.wait()
             tasks.cancel_scope.cancel()
         log.event("node_stopped")
 
@@ -178,13 +181,20 @@
         limit = self.settings.callers.max_header_bytes
         for name, app in self._apps.items():
             tasks.start_soon(
-                http_server.serve,
-                app,
-                self._listeners[name],
-                self._shutdown,
-                limit,
+                self._serve_app, app, self._listeners[name], limit
             )
 
+    async def _serve_app(
+        self, app: Any, listener: socket.socket, max_header_bytes: int
+    ) -> None:
+        self._serving += 1
+        await http_server.serve(
+            app, listener, self._shutdown, max_header_bytes
+        )
+        self._serving -= 1
+        if not self._serving:
+            self._http_ended.set()
+
     async def _pull_configuration(self) -> None:
         await self.keeper.pull(
             self.sessions, self.directory.newest_configuration
--- a/src/clementinekeel/nodes/_socket.py
+++ b/src/clementinekeel/nodes/_socket.py
@@ -41,6 +41,7 @@
             self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         self._descriptor = int(self._socket.getsockopt(zmq.FD))
         self._on_frames = on_frames
+        self._monitor_descriptor = -1
         self._is_draining = False
         self._is_closed = False
 
@@ -59,10 +60,29 @@
         """Connect to ``ip:port`` in the background."""
         self._socket.connect(f"tcp://{address}")
 
-    def monitor(self, events: int) -> "zmq.Socket[Any]":
-        """Return a socket that reports connection events."""
-        monitor: zmq.Socket[Any] = self._socket.get_monitor_socket(events)
-        return monitor
+    async def watch(self, events: int, on_event: Callable[[], None]) -> None:
+        """Call a handler at each connection event until closed.
+
+        Parameters
+        ----------
+        events : int
+            Events of zmq's socket monitor.
+        on_event : Callable
+            Must not block.
+        """
+        if self._is_closed:
+            return
+        monitor = self._socket.get_monitor_socket(events)
+        self._monitor_descriptor = int(monitor.getsockopt(zmq.FD))
+        try:
+            while not self._is_closed:
+                while _has_event(monitor):
+                    on_event()
+                    if self._is_closed:
+                        return
+                await anyio.wait_readable(self._monitor_descriptor)
+        except anyio.ClosedResourceError:
+            return
 
     def send(self, frames: list[bytes]) -> bool:
         """Send a message without blocking.
@@ -106,15 +126,20 @@
             if self.drain():
                 await anyio.lowlevel.checkpoint()
             elif not self._is_closed:
-                await anyio.wait_readable(self._descriptor)
+                try:
+                    await anyio.wait_readable(self._descriptor)
+                except anyio.ClosedResourceError:
+                    return
 
     def close(self) -> None:
         """Close the socket and drop its queued messages."""
         if self._is_closed:
             return
         self._is_closed = True
-        self._socket.disable_monitor()
         anyio.notify_closing(self._descriptor)
+        if self._monitor_descriptor >= 0:
+            anyio.notify_closing(self._monitor_descriptor)
+        self._socket.disable_monitor()
         self._socket.close(linger=0)
 
     def _receive_one(self) -> bool:
@@ -126,3 +151,11 @@
             return False
         self._on_frames(frames)
         return True
+
+
+def _has_event(monitor: "zmq.Socket[Any]") -> bool:
+    try:
+        monitor.recv_multipart(zmq.NOBLOCK)
+    except zmq.ZMQError:
+        return False
+    return True
--- a/src/clementinekeel/nodes/session.py
+++ b/src/clementinekeel/nodes/session.py
@@ -8,11 +8,9 @@
 
 import enum
 import random
-import struct
 from typing import Any, NamedTuple
 
 import anyio
-import anyio.abc
 import zmq
 
 from clementinekeel.nodes import _socket
@@ -33,7 +31,7 @@
 """Allowance for different rates of two monotonic clocks."""
 NONCE_BITS = 63
 
-_MONITOR_EVENTS = (
+_LOST_EVENTS = (
     zmq.EVENT_DISCONNECTED
     | zmq.EVENT_CLOSED
     | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
@@ -172,7 +170,6 @@
         self._socket = _socket.MessageSocket(
             context, zmq.DEALER, self._on_frames
         )
-        self._monitor = self._socket.monitor(_MONITOR_EVENTS)
         self._state = State.CONNECTING
         self._state_changed = anyio.Event()
         self._close_reason = ""
@@ -211,15 +208,13 @@
 
     async def run(self) -> None:
         """Open the session and keep it until it is lost or closed."""
-        self._socket.connect(self.address)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_connection)
-                tasks.start_soon(self._keep_alive, tasks)
+                tasks.start_soon(self._keep_alive)
+                self._socket.connect(self.address)
                 await self._socket.run()
                 tasks.cancel_scope.cancel()
-        except anyio.ClosedResourceError:
-            pass
         finally:
             self.close("closed")
 
@@ -278,11 +273,10 @@
         self._streams.clear()
         self._state_changed.set()
 
-    async def _keep_alive(self, tasks: anyio.abc.TaskGroup) -> None:
+    async def _keep_alive(self) -> None:
         while self._state is not State.CLOSED:
             self._tick(clock.now_ms())
             await clock.sleep_ms(HELLO_INTERVAL_MS)
-        tasks.cancel_scope.cancel()
 
     def _tick(self, now: int) -> None:
         silence = now - self._last_heard_ms
@@ -304,20 +298,9 @@
         return min(silence, now - self._last_ping_ms) >= interval
 
     async def _watch_connection(self) -> None:
-        descriptor = int(self._monitor.getsockopt(zmq.FD))
-        while self._state is not State.CLOSED:
-            self._read_connection_events()
-            await anyio.wait_readable(descriptor)
-
-    def _read_connection_events(self) -> None:
-        while self._state is not State.CLOSED:
-            try:
-                frames = self._monitor.recv_multipart(zmq.NOBLOCK)
-            except zmq.ZMQError:
-                return
-            event, _ = struct.unpack("=HI", frames[0])
-            if event & _MONITOR_EVENTS:
-                self.close("connection lost")
+        await self._socket.watch(
+            _LOST_EVENTS, lambda: self.close("connection lost")
+        )
 
     def _on_frames(self, frames: list[bytes]) -> None:
         try:
--- a/src/clementinekeel/runtime/http_server.py
+++ b/src/clementinekeel/runtime/http_server.py
@@ -18,7 +18,8 @@
 KEEP_ALIVE_TIMEOUT_S = 75
 READ_TIMEOUT_S = 30
 """Longest wait for the next part of a request; ends slow senders."""
-GRACEFUL_TIMEOUT_S = 5
+GRACEFUL_TIMEOUT_S = 1
+"""Time for idle connections to close; requests have ended by then."""
 
 
 def bind(address: str) -> socket.socket:
--- a/src/clementinekeel/runtime/settings.py
+++ b/src/clementinekeel/runtime/settings.py
@@ -360,7 +360,7 @@
         "policies",
         "retry",
         ini.NAME,
-        "budget",
+        "bounded",
         "",
         "Decision whether a request is retried.",
     ),
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -11,6 +11,8 @@
 
 MAX_ATTEMPTS = 6
 MAX_PAUSE_S = 2.0
+NOT_CONNECTED = "not_connected"
+"""This attempt has carried nothing, which says nothing about earlier ones."""
 REPEATABLE = {"refused", "unknown"}
 
 
@@ -110,15 +112,17 @@
             )
             if outcome not in REPEATABLE:
                 break
-            maybe_ran = outcome == "unknown"
+            if outcome == "unknown":
+                maybe_ran = True
             if reason in ("owner_lost", "record_expired"):
                 break
-            if outcome == "refused":
+            if outcome == "refused" and reason != NOT_CONNECTED:
                 # "Not run" is final for a key, so the next try needs a new
                 # one.
                 key = ""
+                maybe_ran = False
             await self._pause(pause_s)
-        if maybe_ran and outcome == "refused" and reason == "not_sent":
+        if maybe_ran and outcome == "refused":
             outcome = "unknown"
         latency_s = time.monotonic() - intended_s
         return Ending(request, outcome, reason, is_own, attempts, latency_s)
@@ -155,11 +159,10 @@
                 content=bytes(request.body_bytes) or None,
                 timeout=request.timeout_ms / 1000 + 5,
             )
+        except httpx.ConnectError:
+            return "refused", NOT_CONNECTED, False, 0.1
         except httpx.HTTPError as error:
-            # A connection that never opened has carried nothing.
-            is_unsent = isinstance(error, httpx.ConnectError)
-            outcome = "refused" if is_unsent else "unknown"
-            return outcome, type(error).__name__, False, 0.1
+            return "unknown", type(error).__name__, False, 0.1
         outcome = answer.headers.get("clementinekeel-outcome", "unknown")
         reason = answer.headers.get("clementinekeel-reason", "")
         hint_ms = int(answer.headers.get("clementinekeel-retry-after-ms", 50))
--- a/tests/configuration/test_objects.py
+++ b/tests/configuration/test_objects.py
@@ -93,7 +93,7 @@
     [
         pytest.param(
             lambda p: {k: v for k, v in p.items() if k != objects.RULES},
-            "rules: missing object",
+            "policy/rules: missing object",
             id="missing object",
         ),
         pytest.param(
@@ -103,7 +103,7 @@
         ),
         pytest.param(
             lambda p: {**p, objects.ZONES: p[objects.ZONES][:-1]},
-            "zones: Input data was truncated",
+            "topology/zones: Input data was truncated",
             id="truncated object",
         ),
         pytest.param(
@@ -158,10 +158,10 @@
     service = model.ServiceSpec("bookings", (endpoint._replace(slots=30),))
     new["service/bookings"] = msgspec.json.encode(service)
     assert objects.difference(old, new) == (
-        "rules: operations book-seat deadline_ms: 10000 -> 9000",
-        "rules: operations cancel-seat: removed",
-        "rules: operations: order changed",
-        "rules: retry_allowance: 2 -> 1",
+        "policy/rules: operations book-seat deadline_ms: 10000 -> 9000",
+        "policy/rules: operations cancel-seat: removed",
+        "policy/rules: operations: order changed",
+        "policy/rules: retry_allowance: 2 -> 1",
         "service/bookings: endpoints bookings-1 slots: 20 -> 30",
         "service/bookings: endpoints bookings-2: removed",
         "service/bookings: endpoints bookings-3: removed",
