--- /dev/null
+++ b/bench/added_latency.py
@@ -0,0 +1,142 @@
+"""Latency that the nodes add to a call, and CPU time per call and hop.
+
+The same call goes straight to the backend server and through two nodes,
+alternating in one run, at rising rates.
+"""
+
+import argparse
+import os
+import statistics
+import time
+
+import anyio
+import uvloop
+
+from bench import _open_loop
+from bench import _two_nodes
+from standins import fleet
+
+RATES_PER_S = (125, 250, 500)
+REPETITIONS = 5
+SECONDS = 6
+PLAN = '{"work_ms": 1}'
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(process: fleet.Process) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    with open(f"/proc/{process.pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def rss_mb(process: fleet.Process) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    with open(f"/proc/{process.pid}/status") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
+
+
+async def measure(seconds: int, repetitions: int) -> None:
+    """Print the table."""
+    print(
+        "rate/s  path      n      p50 ms  p99 ms  p99.9   max     "
+        "entry us  owner us"
+    )
+    async with _two_nodes.run() as running:
+        front, echo = running.vms["front-1"], running.vms["echo-1"]
+        headers = (("standin-plan", PLAN), ("standin-run", "bench"))
+        senders = {
+            "direct": _open_loop.HttpSender(
+                echo.backend.addresses["listen"], "GET", "/items/1", headers
+            ),
+            "nodes": _open_loop.HttpSender(
+                front.callers, "GET", "/services/echo/items/1", headers
+            ),
+        }
+        await _open_loop.run(senders["nodes"].send, 100, 200)
+        for rate in RATES_PER_S:
+            await measure_rate(
+                rate, senders, (front.node, echo.node), seconds, repetitions
+            )
+        print(
+            f"RSS: entry node {rss_mb(front.node):.1f} MB, "
+            f"owner node {rss_mb(echo.node):.1f} MB"
+        )
+
+
+async def measure_rate(
+    rate: int,
+    senders: dict[str, _open_loop.HttpSender],
+    nodes: tuple[fleet.Process, fleet.Process],
+    seconds: int,
+    repetitions: int,
+) -> None:
+    """Measure both paths at one rate, alternating."""
+    found: dict[str, list[_open_loop.Summary]] = {"direct": [], "nodes": []}
+    used_us: list[list[float]] = []
+    for _ in range(repetitions):
+        for path, sender in senders.items():
+            before = [cpu_s(node) for node in nodes]
+            summary = await _open_loop.run(sender.send, rate, rate * seconds)
+            found[path].append(summary)
+            if path == "nodes":
+                used_us.append(
+                    [
+                        (cpu_s(node) - start) * 1e6 / summary.count
+                        for node, start in zip(nodes, before, strict=True)
+                    ]
+                )
+    print_rate(rate, found, used_us)
+
+
+def print_rate(
+    rate: int,
+    found: dict[str, list[_open_loop.Summary]],
+    used_us: list[list[float]],
+) -> None:
+    """Print medians for both paths, and the difference."""
+    p99 = {}
+    for path, summaries in found.items():
+        medians = [
+            statistics.median(values)
+            for values in zip(*summaries, strict=True)
+        ]
+        p99[path] = [item.p99 for item in summaries]
+        cpu = ""
+        if path == "nodes":
+            entry, owner = (
+                statistics.median(values)
+                for values in zip(*used_us, strict=True)
+            )
+            cpu = f"{entry:>9.0f}{owner:>10.0f}"
+        print(
+            f"{rate:<8}{path:<9}{medians[0]:>6.0f}{medians[2]:>9.2f}"
+            f"{medians[3]:>8.2f}{medians[4]:>8.2f}{medians[5]:>8.2f}{cpu}"
+        )
+    added = [
+        through - straight
+        for straight, through in zip(p99["direct"], p99["nodes"], strict=True)
+    ]
+    print(
+        f"{rate:<8}added p99: median {statistics.median(added):.2f} ms, "
+        f"range {min(added):.2f} to {max(added):.2f} "
+        f"({time.strftime('%H:%M:%S')})",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Run the measurement from the command line."""
+    parser = argparse.ArgumentParser(prog="bench.added_latency")
+    parser.add_argument("--seconds", type=int, default=SECONDS)
+    parser.add_argument("--repetitions", type=int, default=REPETITIONS)
+    options = parser.parse_args()
+    uvloop.install()
+    anyio.run(measure, options.seconds, options.repetitions)
+
+
+if __name__ == "__main__":
+    main()
