--- a/src/clementinekeel/membership/detector.py
+++ b/src/clementinekeel/membership/detector.py
@@ -15,6 +15,8 @@
 MAX_PENDING = 256
 MAX_WITNESSES = 2
 """Two witnesses are enough to remove a service's last endpoint."""
+HELP_MEMORY_MS = 5_000
+"""How long a helper remembers that a member did not answer it either."""
 _SERIAL_BITS = 62
 
 
@@ -58,12 +60,14 @@
         self._pending: dict[int, Pending] = {}
         self._order: list[int] = []
         self._urgent: list[int] = []
+        self._unanswered: dict[int, int] = {}
         self.suspicions: dict[int, Suspicion] = {}
 
     def reset(self) -> None:
         """Forget timers that ran while the node did not."""
         self._pending.clear()
         self._urgent.clear()
+        self._unanswered.clear()
         self.suspicions.clear()
 
     def next_target(
@@ -126,6 +130,21 @@
         ]
         return [self._pending.pop(serial) for serial in failed]
 
+    def note_unanswered(self, key: int, now_ms: int) -> None:
+        """Remember that a member did not answer this node as a helper.
+
+        It is no accusation: another helper may have reached the member. It
+        confirms a suspicion that the requester raises.
+        """
+        self._unanswered[key] = now_ms
+        if len(self._unanswered) > MAX_PENDING:
+            del self._unanswered[next(iter(self._unanswered))]
+
+    def is_unanswered(self, key: int, now_ms: int) -> bool:
+        """Tell whether a member lately did not answer this helper."""
+        noted_ms = self._unanswered.get(key)
+        return noted_ms is not None and now_ms - noted_ms < HELP_MEMORY_MS
+
     def suspect(
         self,
         key: int,
@@ -137,13 +156,15 @@
         known = self.suspicions.get(key)
         if known is None or known.version < version:
             self.suspicions[key] = Suspicion(
-                version, now_ms + SUSPICION_MS, witnesses[:MAX_WITNESSES]
+                version,
+                now_ms + SUSPICION_MS,
+                tuple(dict.fromkeys(witnesses))[:MAX_WITNESSES],
             )
             return True
         merged = known.witnesses + tuple(
             witness for witness in witnesses if witness not in known.witnesses
         )
-        merged = merged[:MAX_WITNESSES]
+        merged = tuple(dict.fromkeys(merged))[:MAX_WITNESSES]
         if known.version > version or merged == known.witnesses:
             return False
         self.suspicions[key] = known._replace(witnesses=merged)
@@ -152,6 +173,7 @@
     def clear(self, key: int) -> None:
         """End a suspicion."""
         self.suspicions.pop(key, None)
+        self._unanswered.pop(key, None)
 
     def due(self, now_ms: int) -> list[tuple[int, Suspicion]]:
         """Return the suspicions whose time is over."""
--- a/src/clementinekeel/membership/directory.py
+++ b/src/clementinekeel/membership/directory.py
@@ -132,6 +132,8 @@
         self, key: int, version: int, witnesses: tuple[int, ...]
     ) -> None:
         """Start or confirm the suspicion of a member of the own zone."""
+        if self.detector.is_unanswered(key, self.now_ms):
+            witnesses = (*witnesses, self.own_key)
         is_news = self.detector.suspect(key, version, witnesses, self.now_ms)
         if is_news:
             known = self.detector.suspicions[key]
--- a/src/clementinekeel/membership/joining.py
+++ b/src/clementinekeel/membership/joining.py
@@ -31,9 +31,11 @@
         self._own_address = own_address
         self._random = random
         self._entry_points: dict[str, None] = {}
+        self._order: list[str] = []
         self._attempts = 0
         self._next_ms = now_ms
         self.add(seeds, now_ms)
+        random.shuffle(self._order)
 
     @property
     def entry_points(self) -> list[str]:
@@ -46,6 +48,8 @@
             if address == self._own_address or address in self._entry_points:
                 continue
             self._entry_points[address] = None
+            # New ones are asked first, since the others have not answered.
+            self._order.append(address)
             self.restart(now_ms)
             if len(self._entry_points) > MAX_ENTRY_POINTS:
                 del self._entry_points[next(iter(self._entry_points))]
@@ -67,12 +71,14 @@
             return None
         self._attempts += 1
         self._next_ms = now_ms + self._delay_ms()
-        addresses = [
-            address
-            for address in [*self._entry_points, *extra]
-            if address != self._own_address
-        ]
-        return self._random.choice(addresses) if addresses else None
+        if not self._order:
+            self._order = [
+                address
+                for address in dict.fromkeys([*self._entry_points, *extra])
+                if address != self._own_address
+            ]
+            self._random.shuffle(self._order)
+        return self._order.pop() if self._order else None
 
     def _delay_ms(self) -> int:
         # Full jitter: nodes that start together do not ask together.
--- a/src/clementinekeel/membership/membership.py
+++ b/src/clementinekeel/membership/membership.py
@@ -503,6 +503,9 @@
                 or record.zone != self.own.zone
             ):
                 continue
+            if pending.requester:
+                self._detector.note_unanswered(pending.target, self._now_ms)
+                continue
             witnesses = (self._directory.own_key,)
             self._directory.suspect(pending.target, record.version, witnesses)
 
--- a/src/clementinekeel/membership/relays.py
+++ b/src/clementinekeel/membership/relays.py
@@ -13,38 +13,35 @@
 
 RELAYS_PER_ZONE = 3
 _SCORE_BYTES = 8
-_LIVE = (MemberState.JOINING, MemberState.READY)
+_STAYING = (MemberState.JOINING, MemberState.READY)
 
-Ranking = list[tuple[int, int]]
-"""Score and key of the relays, best first."""
+Ranking = list[tuple[bool, int, int]]
+"""Scores of the relays, best first; the last item is the key."""
 
 
-def score(zone: str, node_id: str) -> int:
-    """Return the rendezvous hash of a node in a zone."""
+def score(key: int, record: MemberRecord) -> tuple[bool, int, int]:
+    """Return a member's rank; the highest ones are relays.
+
+    Leaving members come last, and are relays only if there are no others,
+    so that a zone that drains as a whole stays in contact.
+    """
     digest = hashlib.blake2b(
-        f"{zone}/{node_id}".encode(), digest_size=_SCORE_BYTES
+        f"{record.zone}/{record.node_id}".encode(), digest_size=_SCORE_BYTES
     ).digest()
-    return int.from_bytes(digest, "big")
+    return is_preferred(record), int.from_bytes(digest, "big"), key
 
 
-def is_eligible(record: MemberRecord) -> bool:
-    """Tell whether a member can be a relay."""
-    return record.state in _LIVE
+def is_preferred(record: MemberRecord) -> bool:
+    """Tell whether a member is going to stay."""
+    return record.state in _STAYING
 
 
 def rank(members: Iterable[tuple[int, MemberRecord]]) -> Ranking:
     """Return the ranking of the best of some members of one zone."""
-    return heapq.nlargest(
-        RELAYS_PER_ZONE,
-        (
-            (score(record.zone, record.node_id), key)
-            for key, record in members
-            if is_eligible(record)
-        ),
-    )
+    scores = (score(key, record) for key, record in members)
+    return heapq.nlargest(RELAYS_PER_ZONE, scores)
 
 
 def insert(ranking: Ranking, key: int, record: MemberRecord) -> Ranking:
     """Return a ranking with one more member."""
-    entry = (score(record.zone, record.node_id), key)
-    return heapq.nlargest(RELAYS_PER_ZONE, [*ranking, entry])
+    return heapq.nlargest(RELAYS_PER_ZONE, [*ranking, score(key, record)])
--- a/src/clementinekeel/membership/view.py
+++ b/src/clementinekeel/membership/view.py
@@ -146,7 +146,7 @@
                 (key, _packing.unpack(self._packed[key]))
                 for key in found.all_keys()
             )
-        return [key for _, key in found.ranking]
+        return [key for _, _, key in found.ranking]
 
     def zone_hash(self, zone: str) -> int:
         """Return the hash of a zone's keys and versions."""
@@ -239,7 +239,7 @@
         zone.toggle(key, record.version)
         if record.service:
             self._services.setdefault(record.service, []).append(key)
-        if zone.ranking is not None and relays.is_eligible(record):
+        if zone.ranking is not None:
             zone.ranking = relays.insert(zone.ranking, key, record)
 
     def _replace(
@@ -253,7 +253,7 @@
         if (
             known.zone == record.zone
             and known.service == record.service
-            and relays.is_eligible(known) == relays.is_eligible(record)
+            and relays.is_preferred(known) == relays.is_preferred(record)
         ):
             zone = self._zones[record.zone]
             zone.toggle(key, known.version)
@@ -269,7 +269,7 @@
         zone.remove(key)
         zone.toggle(key, known.version)
         if zone.ranking is not None and any(
-            key == relay for _, relay in zone.ranking
+            key == relay for _, _, relay in zone.ranking
         ):
             zone.ranking = None
         if zone.count == 0:
--- /dev/null
+++ b/tests/membership/test_faults.py
@@ -0,0 +1,414 @@
+"""Views of several nodes under faults, in explicit time."""
+
+import pytest
+
+from clementinekeel.membership import membership
+from clementinekeel.membership import messages
+from clementinekeel.membership import records
+from tests.membership import network
+
+S = 1_000
+READY = records.MemberState.READY
+
+
+class Fleet(network.Network):
+    """Six nodes in zone a and four in zone b, all joined and ready."""
+
+    def __init__(self):
+        super().__init__(seed=1)
+        seeds = ("a0:1", "b0:1")
+        names = [f"a{i}" for i in range(6)]
+        self.a = self.start_zone("a", names, "lookup", seeds)
+        names = [f"b{i}" for i in range(4)]
+        self.b = self.start_zone("b", names, "booking", seeds)
+        self.run(10 * S)
+        self.assert_converged()
+
+    def assert_converged(self):
+        live = list(self.nodes.values())
+        expected = network.view_of(live[0])
+        assert {row[0] for row in expected} == {n.own.node_id for n in live}
+        for node in live:
+            assert network.view_of(node) == expected
+            assert node.own.state is READY
+            assert node.unreachable_zones == ()
+
+    def assert_nobody_removed(self, duration_ms):
+        before = len(self.nodes)
+        for _ in range(duration_ms // S):
+            self.run(S)
+            for node in self.nodes.values():
+                assert len(node.members) == before
+
+
+def kill(fleet):
+    fleet.kill(fleet.a[3])
+    fleet.run(15 * S)
+
+
+def kill_whole_service(fleet):
+    """Its last endpoints go once two witnesses agree."""
+    for name in ("x0", "x1"):
+        fleet.start(name, "a", "sole", ("a0:1",))
+    fleet.run(10 * S)
+    for address in ("x0:1", "x1:1"):
+        fleet.kill(fleet.nodes[address])
+    fleet.run(30 * S)
+    assert fleet.a[0].endpoints("sole") == []
+
+
+def kill_all_relays(fleet):
+    relays = {record.address for record in fleet.a[0].relays("a")}
+    for address in relays:
+        del fleet.nodes[address]
+    fleet.run(30 * S)
+    survivor = next(iter(fleet.nodes.values()))
+    found = {record.address for record in survivor.relays("a")}
+    assert len(found) == 3
+    assert not found & relays
+
+
+def freeze_and_thaw(fleet):
+    node = fleet.a[2]
+    version = node.own.version
+    fleet.pause(node)
+    fleet.run(20 * S)
+    assert "a2" not in network.names(fleet.b[0])
+    fleet.resume(node)
+    effects = node.tick(fleet.now_ms)
+    assert node.own.state is records.MemberState.JOINING
+    assert effects.removed == []
+    fleet.deliver(node, effects)
+    fleet.run(20 * S)
+    assert node.own.version > version
+
+
+def freeze_briefly(fleet):
+    fleet.pause(fleet.a[2])
+    fleet.run(2 * S)
+    fleet.resume(fleet.a[2])
+    fleet.assert_nobody_removed(20 * S)
+
+
+def half_cut_link(fleet):
+    """Helpers reach the peer, so nobody is removed."""
+    fleet.cut_between(fleet.a[:1], fleet.a[1:2])
+    fleet.assert_nobody_removed(60 * S)
+
+
+def cut_outgoing(fleet):
+    """A node that cannot send must not accuse all others."""
+    node = fleet.a[0]
+    for other in [*fleet.a[1:], *fleet.b]:
+        fleet.cut_link(node, other)
+    fleet.run(60 * S)
+    assert len(node.members) == 10
+    assert "a0" not in network.names(fleet.a[1])
+    fleet.cut.clear()
+    fleet.run(40 * S)
+
+
+def cut_incoming(fleet):
+    """A node that hears nothing must not accuse all others."""
+    node = fleet.a[0]
+    for other in [*fleet.a[1:], *fleet.b]:
+        fleet.cut_link(other, node)
+    fleet.run(60 * S)
+    assert len(node.members) == 10
+    assert "a0" not in network.names(fleet.a[1])
+    fleet.cut.clear()
+    fleet.run(40 * S)
+
+
+def lost_own_zone_only(fleet):
+    """A node that still reaches the other zone must not accuse its own."""
+    fleet.cut_between(fleet.a[:1], fleet.a[1:])
+    fleet.run(60 * S)
+    assert len(fleet.a[0].members) == 10
+    fleet.cut.clear()
+    fleet.run(60 * S)
+
+
+def zone_cut_and_healed(fleet):
+    fleet.cut_between(fleet.a, fleet.b)
+    fleet.run(60 * S)
+    assert [n.unreachable_zones for n in fleet.a] == [("b",)] * 6
+    assert [n.unreachable_zones for n in fleet.b] == [("a",)] * 4
+    fleet.kill(fleet.b[3])
+    fleet.a[1].update_own(fleet.now_ms, endpoint="moved")
+    fleet.run(540 * S)
+    assert len(fleet.a[0].members) == 10
+    assert len(fleet.b[0].members) == 9
+    fleet.cut.clear()
+    fleet.sent.clear()
+    fleet.run(30 * S)
+    # No storm: quiet traffic is about 45 messages a second.
+    assert len(fleet.sent) < 30 * 70
+
+
+def zone_in_two_halves(fleet):
+    """They removed each other and must find each other without seeds."""
+    sides = (fleet.a[:3], fleet.a[3:])
+    fleet.cut_between(*sides)
+    fleet.cut_between(fleet.a, fleet.b)
+    fleet.run(60 * S)
+    assert len(fleet.a[0].members_of("a")) == 3
+    fleet.cut.clear()
+    fleet.run(60 * S)
+
+
+def replaced_at_the_same_address(fleet):
+    old = fleet.a[4].own.member_id
+    fleet.kill(fleet.a[4])
+    fleet.start("a4", "a", "lookup", ("a0:1",))
+    fleet.run(4 * S)
+    assert [n for n in fleet.nodes.values() if n.find(old)] == []
+    fleet.run(6 * S)
+
+
+def other_node_at_the_same_address(fleet):
+    fleet.kill(fleet.a[4])
+    fleet.start("new", "a", "lookup", ("a0:1",), address="a4:1")
+    fleet.run(10 * S)
+
+
+def duplicate_node_id(fleet):
+    """Both processes are members; the death of one does not hide another."""
+    twin = fleet.start("a1", "a", "lookup", ("a0:1",), address="twin:1")
+    fleet.run(10 * S)
+    assert network.names(fleet.b[0]).count("a1") == 2
+    fleet.kill(fleet.a[1])
+    fleet.run(15 * S)
+    assert fleet.b[0].find(twin.own.member_id)
+
+
+def all_seeds_dead(fleet):
+    node = fleet.start("late", "a", "lookup", ("gone:1", "lost:1"))
+    fleet.sent.clear()
+    fleet.run(120 * S)
+    joins = [m for _, _, m in fleet.sent if isinstance(m, messages.Join)]
+    assert 12 <= len(joins) < 60
+    assert not node.is_confirmed
+    assert node.own.state is records.MemberState.JOINING
+    node.add_entry_points(["a5:1"])
+    fleet.run(15 * S)
+
+
+def replayed_old_record(fleet):
+    old = fleet.a[3].own
+    fleet.kill(fleet.a[3])
+    fleet.run(15 * S)
+    piggyback = messages.Piggyback((old,), (), 0, "")
+    empty = messages.Piggyback((), (), 0, "")
+    for message in (
+        messages.Probe(1, fleet.b[0].own, piggyback),
+        messages.Probe(2, old, empty),
+        messages.ProbeAck(3, old, empty),
+        messages.Members(fleet.b[0].own, (old,)),
+        messages.Delta("", 0, 0, b"", (old,), (), ()),
+    ):
+        effects = fleet.a[0].receive("a3:1", message, fleet.now_ms)
+        assert effects.joined == []
+    fleet.run(5 * S)
+
+
+def falsely_reported_gone(fleet):
+    """The member refutes with a higher version and comes back."""
+    node = fleet.a[3]
+    notice = messages.Notice(
+        node.own.key, node.own.version, messages.Status.GONE, (1, 2)
+    )
+    piggyback = messages.Piggyback((), (notice,), 0, "")
+    probe = messages.Probe(1, fleet.a[1].own, piggyback)
+    effects = fleet.a[0].receive("a1:1", probe, fleet.now_ms)
+    assert [record.node_id for record in effects.removed] == ["a3"]
+    fleet.deliver(fleet.a[0], effects)
+    fleet.run(20 * S)
+
+
+def kill_during_zone_cut(fleet):
+    fleet.cut_between(fleet.a, fleet.b)
+    fleet.kill(fleet.a[0])
+    fleet.run(60 * S)
+    fleet.cut.clear()
+    fleet.run(40 * S)
+
+
+def freeze_during_half_cut(fleet):
+    fleet.cut_between(fleet.a[:1], fleet.a[1:3])
+    fleet.pause(fleet.a[5])
+    fleet.run(20 * S)
+    fleet.resume(fleet.a[5])
+    fleet.run(30 * S)
+
+
+def loss_and_kill(fleet):
+    fleet.loss = 0.1
+    fleet.kill(fleet.b[2])
+    fleet.run(60 * S)
+    fleet.loss = 0
+    fleet.run(30 * S)
+
+
+FAULTS = (
+    kill,
+    kill_whole_service,
+    kill_all_relays,
+    freeze_and_thaw,
+    freeze_briefly,
+    half_cut_link,
+    cut_outgoing,
+    cut_incoming,
+    lost_own_zone_only,
+    zone_cut_and_healed,
+    zone_in_two_halves,
+    replaced_at_the_same_address,
+    other_node_at_the_same_address,
+    duplicate_node_id,
+    all_seeds_dead,
+    replayed_old_record,
+    falsely_reported_gone,
+    kill_during_zone_cut,
+    freeze_during_half_cut,
+    loss_and_kill,
+)
+TWICE = (freeze_and_thaw, half_cut_link, cut_outgoing, zone_in_two_halves)
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_views_converge_after(fault):
+    fleet = Fleet()
+    fault(fleet)
+    fleet.assert_converged()
+
+
+@pytest.mark.parametrize("fault", TWICE, ids=lambda fault: fault.__name__)
+def test_views_converge_after_the_same_fault_twice(fault):
+    """State left over from the first time must not change the second."""
+    fleet = Fleet()
+    for _ in range(2):
+        fault(fleet)
+        fleet.cut.clear()
+        fleet.assert_converged()
+
+
+def test_leaving_member_is_not_offered_within_three_seconds():
+    """New work must not go to a backend server that leaves."""
+    fleet = Fleet()
+    node = fleet.a[0]
+    fleet.deliver(node, node.leave(fleet.now_ms))
+    assert node.own.node_id not in {
+        candidate.node_id for candidate in node.endpoints("lookup")
+    }
+    fleet.run(3 * S)
+    for other in fleet.nodes.values():
+        found = {c.node_id for c in other.endpoints("lookup")}
+        assert found == {"a1", "a2", "a3", "a4", "a5"}
+    fleet.deliver(
+        node, node.update_own(fleet.now_ms, state=records.MemberState.LEFT)
+    )
+    fleet.kill(node)
+    fleet.run(3 * S)
+    fleet.assert_converged()
+
+
+def make_alone(*others):
+    net = network.Network()
+    node = net.start("own", "a")
+    for name, service in others:
+        record = node.own._replace(
+            node_id=name, service=service, state=READY, version=5
+        )
+        empty = messages.Piggyback((), (), 0, "")
+        node.receive("x:1", messages.ProbeAck(1, record, empty), net.now_ms)
+    return net, node
+
+
+def report(net, node, name, status, witnesses):
+    key = records.MemberId(name, node.own.incarnation).key
+    notice = messages.Notice(key, 5, status, witnesses)
+    delta = messages.Delta("", 0, 0, b"", (), (notice,), ())
+    effects = node.receive("x:1", delta, net.now_ms)
+    return [record.node_id for record in effects.removed]
+
+
+@pytest.mark.parametrize(
+    ("others", "status", "witnesses", "removed"),
+    [
+        pytest.param(
+            [("x", "s")], messages.Status.GONE, (1,), [], id="one witness"
+        ),
+        pytest.param(
+            [("x", "s")],
+            messages.Status.GONE,
+            (1, 2),
+            ["x"],
+            id="two witnesses",
+        ),
+        pytest.param(
+            [("x", "s"), ("y", "s")],
+            messages.Status.GONE,
+            (1,),
+            ["x"],
+            id="not the last",
+        ),
+        pytest.param(
+            [("x", "s")],
+            messages.Status.REPLACED,
+            (1,),
+            ["x"],
+            id="replaced",
+        ),
+        pytest.param(
+            [("x", "s")], messages.Status.SUSPECT, (1, 2), [], id="suspicion"
+        ),
+    ],
+)
+def test_last_endpoint_is_removed_on_enough_evidence(
+    others, status, witnesses, removed
+):
+    """One cut link must not take away a service."""
+    net, node = make_alone(*others)
+    assert report(net, node, "x", status, witnesses) == removed
+
+
+def test_second_report_confirms_the_first():
+    net, node = make_alone(("x", "s"))
+    assert report(net, node, "x", messages.Status.GONE, (1,)) == []
+    assert [r.node_id for r in node.suspects] == ["x"]
+    assert report(net, node, "x", messages.Status.GONE, (1,)) == []
+    assert report(net, node, "x", messages.Status.SUSPECT, (2,)) == []
+    assert node.endpoints("s")
+    assert report(net, node, "x", messages.Status.GONE, (1, 2)) == ["x"]
+
+
+def test_newest_configuration_is_known_without_new_records():
+    """45,000 changes a day must not rewrite every member's record."""
+    fleet = Fleet()
+    versions = {node.own.version for node in fleet.nodes.values()}
+    fleet.a[2].update_own(fleet.now_ms, configuration_version=7)
+    fleet.run(4 * S)
+    for node in fleet.nodes.values():
+        assert node.newest_configuration() == (7, "a2:1")
+    fleet.run(30 * S)
+    record = fleet.b[0].find(fleet.a[2].own.member_id)
+    assert record.configuration_version == 7
+    assert {n.own.version for n in fleet.nodes.values()} != versions
+
+
+@pytest.mark.parametrize("field", ["node_id", "version", "zone", "address"])
+def test_identity_is_fixed(field):
+    _, node = make_alone()
+    with pytest.raises(ValueError, match="fixed field"):
+        node.update_own(1_000_000, **{field: "other"})
+
+
+def test_first_node_of_a_fleet_becomes_ready():
+    net, node = make_alone()
+    net.run(2 * S)
+    assert node.own.state is READY
+
+
+def test_tick_interval_is_below_the_pause_limit():
+    """A few slow ticks must not look like a pause."""
+    assert membership.TICK_INTERVAL_MS * 10 <= membership.PAUSE_MS
