--- a/src/clementinekeel/__main__.py
+++ b/src/clementinekeel/__main__.py
@@ -1,14 +1,31 @@
 """Entry point of the command ``clementinekeel``."""
 
+import importlib
 import sys
+from typing import Any
 
-from clementinekeel.operators.cli import application
+_NODE_ARGUMENTS = 3
 
 
 def main() -> None:
     """Run the command line and exit with its code."""
+    arguments = sys.argv[1:]
+    if _is_plain_node(arguments):
+        # A node stays in memory for long, so it is started without the
+        # command line library, which takes 4 MB.
+        daemon: Any = importlib.import_module("clementinekeel.daemon.main")
+        sys.exit(daemon.run_file(arguments[-1]))
+    application: Any = importlib.import_module(
+        "clementinekeel.operators.cli.application"
+    )
     sys.exit(application.build().run())
 
 
+def _is_plain_node(arguments: list[str]) -> bool:
+    if len(arguments) != _NODE_ARGUMENTS:
+        return False
+    return arguments[:2] == ["node", "--settings"]
+
+
 if __name__ == "__main__":
     main()
--- a/src/clementinekeel/daemon/main.py
+++ b/src/clementinekeel/daemon/main.py
@@ -1,5 +1,6 @@
 """Start and stop of the node process."""
 
+from collections.abc import Iterable
 import json
 import signal
 import sys
@@ -9,21 +10,50 @@
 import uvloop
 
 from clementinekeel.daemon import node as node_module
+from clementinekeel.daemon import policies
+from clementinekeel.runtime import ini
 from clementinekeel.runtime import log
 from clementinekeel.runtime import settings as settings_module
 
+EXIT_DONE = 0
+EXIT_FAULTY = 1
 
-def run(settings: settings_module.Settings) -> None:
-    """Run a node until it is told to stop.
+
+def run_file(path: str) -> int:
+    """Check settings and run a node until it is told to stop.
 
     Parameters
     ----------
-    settings : Settings
-        Checked settings.
+    path : str
+        File with the settings.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a stop, 1 if the settings are faulty or an
+        address cannot be used.
     """
+    loaded = settings_module.load(path)
+    settings = loaded.value_or(None)
+    if settings is None:
+        return _refuse(loaded.failure())
+    faults = policies.find_faults(settings.policies, path)
+    if faults:
+        return _refuse(faults)
     log.configure(settings.node.log_level, settings.node.id)
     uvloop.install()
-    anyio.run(_run, settings)
+    try:
+        anyio.run(_run, settings)
+    except OSError as error:
+        log.event("start_failed", level="ERROR", reason=str(error))
+        return EXIT_FAULTY
+    return EXIT_DONE
+
+
+def _refuse(faults: Iterable[ini.Fault]) -> int:
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    return EXIT_FAULTY
 
 
 async def _run(settings: settings_module.Settings) -> None:
--- a/src/clementinekeel/operators/cli/node.py
+++ b/src/clementinekeel/operators/cli/node.py
@@ -21,10 +21,10 @@
     def handle(self) -> int:
         """Check the settings and run the node."""
         try:
-            settings = _command.load_settings(self.required("settings"))
+            path = self.required("settings")
         except _command.CommandError as error:
             self.emit_error(error)
             return int(error.code)
         # Imported here, so that the other commands do not load the daemon.
         main = importlib.import_module("clementinekeel.daemon.main")
-        return int(main.run(settings) or 0)
+        return int(main.run_file(path))
