--- a/src/clementinekeel/daemon/owner.py
+++ b/src/clementinekeel/daemon/owner.py
@@ -30,6 +30,9 @@
 
 QUEUE_CHECK_MS = 50
 """Longest delay of a refusal whose time has come."""
+_HINTED = frozenset({"backend_shed", "deadline"})
+"""Reasons that will hold for a while; after others, another endpoint can be
+tried at once."""
 KEPT_HEADERS_BYTES = 4 * 1024
 
 Outcome = outcomes.Outcome
@@ -515,7 +518,9 @@
         moved: str = "",
     ) -> None:
         load = self.load
-        hint = retry_after_ms or load.retry_after_ms
+        hint = retry_after_ms
+        if not hint and reason in _HINTED:
+            hint = load.retry_after_ms
         stream.reply(
             messages.Refused(stream.number, reason, step, hint, moved, load)
         )
