Bound retries over a whole chain of calls

Cause: three attempts at each hop multiply to 81 at the end of a chain of four, and budgets of 10% at each hop add up at the failing service. Ruled out: passing the whole allowance with an attempt, since a lost answer then leaves the sender none; reporting only the retries really made, since the entry node then tries again after the nearest node gave up.

--- /dev/null
+++ b/src/clementinekeel/retries/messages.py
@@ -0,0 +1,60 @@
+"""Failed attempts and the decisions about them."""
+
+from typing import NamedTuple
+
+from clementinekeel.outcomes import messages as outcomes
+
+
+class Attempt(NamedTuple):
+    """An attempt that did not complete.
+
+    Attributes
+    ----------
+    service : str
+        Service that was called.
+    outcome : Outcome
+        ``REFUSED`` only if the request certainly did not run.
+    idempotent : bool
+        Whether running the request again does no harm.
+    number : int
+        Attempts made by this node for this call so far, from 1.
+    allowance : int
+        Extra attempts that this call may still make.
+    stopped : bool
+        Whether a node further down gave up trying again.
+    remaining_ms : int
+        Time until the caller stops waiting.
+    retry_after_ms : int
+        The server's hint, 0 if there is none.
+    """
+
+    service: str
+    outcome: outcomes.Outcome
+    idempotent: bool
+    number: int
+    allowance: int
+    stopped: bool
+    remaining_ms: int
+    retry_after_ms: int
+
+
+class RetryAfter(NamedTuple):
+    """Try again after a delay."""
+
+    delay_ms: float
+
+
+class Stop(NamedTuple):
+    """Do not try again.
+
+    Attributes
+    ----------
+    reason : str
+        ``completed``, ``may_have_run``, ``attempts``, ``allowance``,
+        ``stopped``, ``deadline`` or ``budget``.
+    """
+
+    reason: str
+
+
+Decision = RetryAfter | Stop
