--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 test: lint types unit
 
 demo: setup
-	$(BIN)/python -m examples.demo --deployment office
+	$(BIN)/python -m examples.demo
 
 bench: setup
 	$(BIN)/python -m bench
--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -5,7 +5,6 @@
 """
 
 import argparse
-import os
 import statistics
 import time
 
@@ -13,6 +12,7 @@
 import uvloop
 
 from bench import _open_loop
+from bench import _process
 from bench import _two_nodes
 from standins import fleet
 
@@ -20,23 +20,6 @@
 REPETITIONS = 5
 SECONDS = 6
 PLAN = '{"work_ms": 1}'
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_s(process: fleet.Process) -> float:
-    """Return the processor time that a process has used, in seconds."""
-    with open(f"/proc/{process.pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
-
-
-def rss_mb(process: fleet.Process) -> float:
-    """Return the resident memory of a process, in megabytes."""
-    with open(f"/proc/{process.pid}/status") as file:
-        for line in file:
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    return 0.0
 
 
 async def measure(seconds: int, repetitions: int) -> None:
@@ -62,8 +45,8 @@
                 rate, senders, (front.node, echo.node), seconds, repetitions
             )
         print(
-            f"RSS: entry node {rss_mb(front.node):.1f} MB, "
-            f"owner node {rss_mb(echo.node):.1f} MB"
+            f"RSS: entry node {_process.rss_mib(front.node):.1f} MiB, "
+            f"owner node {_process.rss_mib(echo.node):.1f} MiB"
         )
 
 
@@ -79,13 +62,13 @@
     used_us: list[list[float]] = []
     for _ in range(repetitions):
         for path, sender in senders.items():
-            before = [cpu_s(node) for node in nodes]
+            before = [_process.cpu_s(node) for node in nodes]
             summary = await _open_loop.run(sender.send, rate, rate * seconds)
             found[path].append(summary)
             if path == "nodes":
                 used_us.append(
                     [
-                        (cpu_s(node) - start) * 1e6 / summary.count
+                        (_process.cpu_s(node) - start) * 1e6 / summary.count
                         for node, start in zip(nodes, before, strict=True)
                     ]
                 )
--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -250,6 +250,9 @@
             raise group.exceptions[0] from None
         finally:
             _return_draw(plan, used)
+        if answer.outcome is not Outcome.COMPLETED:
+            # The nodes above must not add their retries to those made here.
+            plan.context.pool.forfeit()
         return answer
 
     async def _attempt_all(
@@ -464,8 +467,6 @@
     def _give_up(
         self, progress: _Progress, target: _Target, result: attempt.Result
     ) -> callers.CallerAnswer | callers.CallerProblem:
-        if progress.plan.context is not None:
-            progress.plan.context.pool.forfeit()
         if isinstance(result, attempt.Answered):
             return _caller_answer(result, target.key)
         return _final_problem(progress, result)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -32,6 +32,7 @@
 FLEET_KEY = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+TRACE_DELAY_S = 0.5
 SEEDS = 2
 """Nodes that the others are told of at their start."""
 
@@ -185,25 +186,38 @@
             zone.name: zone.region for zone in self.input.inventory.zones
         }
 
-    async def start(self) -> None:
-        """Start everything and wait until all endpoints take requests."""
-        store = await self._spawn(
-            "store", "standins.store", "--listen", LOOPBACK
-        )
-        self.store = "http://" + store.addresses["listening"]
-        specs = [
+    @property
+    def specs(self) -> list[model.EndpointSpec]:
+        """All endpoints of the inventory."""
+        return [
             spec
             for service in self.input.inventory.services
             for spec in service.endpoints
         ]
+
+    async def start(self) -> None:
+        """Start everything and wait until all endpoints take requests."""
+        await self.start_store()
         # The first nodes are the seeds of the others.
-        for spec in specs[:SEEDS]:
+        for spec in self.specs[:SEEDS]:
             await self.start_vm(spec)
         async with anyio.create_task_group() as tasks:
-            for spec in specs[SEEDS:]:
+            for spec in self.specs[SEEDS:]:
                 tasks.start_soon(self.start_vm, spec)
         await self.apply("first configuration")
-        await self.wait_ready(specs)
+        await self.wait_ready(self.specs)
+
+    async def start_store(self) -> None:
+        """Start the stand-in for the platform's store."""
+        store = await self._spawn(
+            "store", "standins.store", "--listen", LOOPBACK
+        )
+        self.store = "http://" + store.addresses["listening"]
+
+    async def start_node(self, spec: model.EndpointSpec) -> None:
+        """Start the node of an endpoint without its backend server."""
+        node = await self._start_node(spec)
+        self.vms[spec.name] = Vm(spec, node, node)
 
     async def start_vm(self, spec: model.EndpointSpec) -> None:
         """Start the node and the backend server of an endpoint."""
@@ -249,6 +263,10 @@
         except TimeoutError:
             raise FleetError("the endpoints did not become ready") from None
 
+    async def drain_traces(self) -> None:
+        """Wait until the runs reported so far have been read."""
+        await anyio.sleep(TRACE_DELAY_S)
+
     async def stop(self) -> None:
         """End all processes."""
         for process in self._processes:
@@ -316,13 +334,24 @@
 
 
 @contextlib.asynccontextmanager
-async def run(options: Options) -> AsyncIterator[Fleet]:
-    """Start a fleet, and end it with the context."""
+async def run(
+    options: Options, is_complete: bool = True
+) -> AsyncIterator[Fleet]:
+    """Start a fleet, and end it with the context.
+
+    Parameters
+    ----------
+    is_complete : bool
+        False to start only the store.
+    """
     with tempfile.TemporaryDirectory() as folder:
         async with anyio.create_task_group() as tasks:
             fleet = Fleet(options, tasks, folder)
             try:
-                await fleet.start()
+                if is_complete:
+                    await fleet.start()
+                else:
+                    await fleet.start_store()
                 yield fleet
             finally:
                 with anyio.CancelScope(shield=True):
--- /dev/null
+++ b/standins/workload.py
@@ -0,0 +1,110 @@
+"""Mixed requests of the example deployments, three to four services deep."""
+
+import random
+from typing import Any, NamedTuple
+
+from standins import caller
+
+
+class Kind(NamedTuple):
+    """A kind of request.
+
+    Attributes
+    ----------
+    share : float
+        Share of all requests.
+    body_bytes : int
+        Size of the body.
+    """
+
+    name: str
+    share: float
+    service: str
+    method: str
+    path: str
+    idempotent: bool
+    body_bytes: int
+
+
+class Workload(NamedTuple):
+    """Requests to one deployment.
+
+    Attributes
+    ----------
+    lookups : tuple
+        Service and path of the onward lookups, outermost first.
+    """
+
+    kinds: tuple[Kind, ...]
+    lookups: tuple[tuple[str, str], ...]
+
+
+OFFICE = Workload(
+    (
+        Kind("lookup", 0.5, "timetable", "GET", "/lessons/7", True, 0),
+        Kind("internal", 0.1, "bursary", "GET", "/registry/9", True, 0),
+        Kind("booking", 0.2, "bookings", "POST", "/seats/4", False, 200),
+        Kind("settlement", 0.17, "bursary", "POST", "/settlements", False, 9),
+        Kind(
+            "recording",
+            0.03,
+            "recordings",
+            "POST",
+            "/recordings",
+            False,
+            3_000_000,
+        ),
+    ),
+    (
+        ("timetable", "/repertoire/1"),
+        ("recordings", "/recordings/2"),
+        ("bursary", "/accounts/3"),
+    ),
+)
+DEPTHS = (2, 3)
+"""Onward calls below the first service."""
+
+
+def make_request(
+    workload: Workload,
+    number: int,
+    source: random.Random,
+    timeout_ms: int,
+) -> caller.Request:
+    """Return the next request of the mix.
+
+    Parameters
+    ----------
+    number : int
+        Makes its run name unique.
+    """
+    shares = [kind.share for kind in workload.kinds]
+    (kind,) = source.choices(workload.kinds, shares)
+    return caller.Request(
+        run=f"{kind.name}-{number}",
+        kind=kind.name,
+        service=kind.service,
+        method=kind.method,
+        path=kind.path,
+        idempotent=kind.idempotent,
+        plan={
+            "work_ms": source.uniform(2, 10),
+            "calls": _lookup_chain(workload, source.choice(DEPTHS)),
+            "answer_bytes": 500,
+        },
+        body_bytes=kind.body_bytes,
+        timeout_ms=timeout_ms,
+    )
+
+
+def _lookup_chain(workload: Workload, depth: int) -> list[dict[str, Any]]:
+    calls: list[dict[str, Any]] = []
+    for service, path in workload.lookups[:depth][::-1]:
+        call = {
+            "service": service,
+            "method": "GET",
+            "path": path,
+            "plan": {"work_ms": 2, "calls": calls},
+        }
+        calls = [call]
+    return calls
