--- a/src/clementinekeel/daemon/directory.py
+++ b/src/clementinekeel/daemon/directory.py
@@ -1,6 +1,5 @@
 """Endpoints and nodes as membership sees them, for routing."""
 
-from clementinekeel.daemon import keeper
 from clementinekeel.membership import membership as membership_module
 from clementinekeel.membership import records
 from clementinekeel.outcomes import messages as outcomes
@@ -46,13 +45,18 @@
         record = self._membership.find(member_id)
         return None if record is None else _candidate(record)
 
-    def newest_configuration(self) -> keeper.Newest:
-        """Return the newest version heard of, and a node that has it."""
-        version, address = self._membership.newest_configuration()
+    @property
+    def newest_version(self) -> int:
+        """Newest version of the configuration heard of."""
+        return self._membership.newest_configuration()[0]
+
+    def newest_source(self) -> routing.Candidate | None:
+        """Return a node that has the newest configuration."""
+        _, address = self._membership.newest_configuration()
         for record in self._membership.members:
             if record.address == address:
-                return keeper.Newest(version, _candidate(record))
-        return keeper.Newest(version, None)
+                return _candidate(record)
+        return None
 
 
 def _candidate(record: records.MemberRecord) -> routing.Candidate:
--- a/src/clementinekeel/daemon/keeper.py
+++ b/src/clementinekeel/daemon/keeper.py
@@ -1,7 +1,7 @@
 """The configuration in force at this node, and where newer ones come from."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Protocol
 
 import anyio
 
@@ -22,11 +22,15 @@
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
 
 
-class Newest(NamedTuple):
-    """The newest version heard of, and a node that has it."""
+class NewestSource(Protocol):
+    """Tells which configuration is the newest, and who has it."""
 
-    version: int
-    source: routing.Candidate | None
+    @property
+    def newest_version(self) -> int:
+        """Newest version heard of."""
+
+    def newest_source(self) -> routing.Candidate | None:
+        """Return a node that has it."""
 
 
 class ConfigurationKeeper:
@@ -105,16 +109,15 @@
     async def pull(
         self,
         sessions: pool.SessionPool,
-        newest: Callable[[], Newest],
+        source: NewestSource,
     ) -> None:
         """Fetch newer configurations from other nodes, for ever."""
         while True:
-            heard = newest()
-            is_wanted = heard.version > max(
-                self.version, self.unusable_version
-            )
-            if is_wanted and heard.source is not None:
-                await self._pull_once(sessions, heard.source)
+            known = max(self.version, self.unusable_version)
+            if source.newest_version > known:
+                node = source.newest_source()
+                if node is not None:
+                    await self._pull_once(sessions, node)
             await clock.sleep_ms(PULL_INTERVAL_MS)
 
     async def _pull_once(
--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -196,9 +196,7 @@
             self._http_ended.set()
 
     async def _pull_configuration(self) -> None:
-        await self.keeper.pull(
-            self.sessions, self.directory.newest_configuration
-        )
+        await self.keeper.pull(self.sessions, self.directory)
 
     async def _drain(self) -> None:
         """Wait for the requests in flight on both sides."""
--- a/src/clementinekeel/daemon/owner.py
+++ b/src/clementinekeel/daemon/owner.py
@@ -119,6 +119,7 @@
         self._waiters: dict[bytes, list[server.ServerStream]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._became_idle = anyio.Event()
+        self._became_queued = anyio.Event()
 
     @property
     def is_idle(self) -> bool:
@@ -174,8 +175,10 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             while True:
-                await clock.sleep_ms(QUEUE_CHECK_MS)
-                if self._admission is not None and self.queued:
+                self._became_queued = anyio.Event()
+                await self._became_queued.wait()
+                while self.queued and self._admission is not None:
+                    await clock.sleep_ms(QUEUE_CHECK_MS)
                     self._apply(self._admission.expire(clock.now_ms()))
 
     async def wait_idle(self) -> None:
@@ -282,6 +285,8 @@
                 self._refuse(
                     served, decision.reason, "admit", decision.retry_after_ms
                 )
+            else:
+                self._became_queued.set()
         self._note_idle()
 
     def _start(self, served: Served) -> None:
