--- a/standins/store.py
+++ b/standins/store.py
@@ -36,6 +36,8 @@
         ``"503"`` or ``"closed"`` for all requests; empty for none.
     delay_ms : int
         Wait before a request takes effect.
+    spare_writes : int
+        Writes to come that the next three faults leave alone.
     lose_answers : int
         Writes to come whose answer is lost after they took effect.
     lose_share : float
@@ -48,6 +50,7 @@
 
     down: str = ""
     delay_ms: int = 0
+    spare_writes: int = 0
     lose_answers: int = 0
     lose_share: float = 0.0
     hold_writes: int = 0
@@ -253,9 +256,8 @@
         writes = is_write(path, request)
         if not await self._admit(writes, send):
             return
-        if writes and self.faults.hold_writes > 0:
-            left = self.faults.hold_writes - 1
-            self.faults = self.faults._replace(hold_writes=left)
+        is_spared = writes and self._use_up("spare_writes")
+        if writes and not is_spared and self._use_up("hold_writes"):
             self._held.append((path, request))
             await self._close(send)
             return
@@ -263,7 +265,7 @@
         answer = self._handlers[path](request)
         if writes:
             self._notify()
-        if writes and self._loses_answer():
+        if writes and not is_spared and self._loses_answer():
             await self._close(send)
             return
         await self._answer(send, 200, answer)
@@ -285,10 +287,15 @@
         self.reads += not writes
         return True
 
+    def _use_up(self, name: str) -> bool:
+        """Count a fault down; return whether it applies."""
+        left = getattr(self.faults, name)
+        if left > 0:
+            self.faults = self.faults._replace(**{name: left - 1})
+        return bool(left > 0)
+
     def _loses_answer(self) -> bool:
-        if self.faults.lose_answers > 0:
-            left = self.faults.lose_answers - 1
-            self.faults = self.faults._replace(lose_answers=left)
+        if self._use_up("lose_answers"):
             return True
         return self._random.random() < self.faults.lose_share
 
--- /dev/null
+++ b/tests/platform/test_change_machine.py
@@ -0,0 +1,154 @@
+"""Operators with lost, delayed and repeated transactions, in any order."""
+
+from unittest import mock
+
+import anyio
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from returns import result
+import trio.testing
+
+from clementinekeel.platform import changes
+from standins import store as standin
+from tests.platform import stand
+
+NAMES = ("service/a", "service/b", "service/c")
+
+FAULTS = strategies.one_of(
+    strategies.just({}),
+    strategies.fixed_dictionaries(
+        {"spare_writes": strategies.integers(0, 1)},
+        optional={
+            "lose_answers": strategies.integers(1, 4),
+            "hold_writes": strategies.integers(1, 4),
+            "lose_share": strategies.sampled_from([0.3, 1.0]),
+        },
+    ),
+)
+"""The second write of a change is the one that replaces the head."""
+
+
+class OperatorsMachine(stateful.RuleBasedStateMachine):
+    """Every change ends accepted or not accepted, for all and for good."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = standin.StoreApplication(1e9, 1e9)
+        self.changes = {}
+        self.accepted = {}
+        self.lost = set()
+        self.base = {}
+        self.head_seen = 0
+        # Small, so that removals take place within a few steps.
+        bounds = {"KEPT_VERSIONS": 2, "MAX_DELTA_ENTRIES": 2}
+        self.bounds = mock.patch.multiple(changes, **bounds)
+        self.bounds.start()
+
+    def teardown(self):
+        self.bounds.stop()
+
+    def run(self, function, *arguments):
+        async def call():
+            async with stand.open_platform() as platform:
+                platform.store = self.store
+                async with platform.client() as client:
+                    return await function(client, *arguments)
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return anyio.run(
+            call, backend_options={"clock": clock}, backend="trio"
+        )
+
+    def note(self, change_id, answer):
+        """Record what an operator was told, and compare with earlier."""
+        if isinstance(answer, changes.Accepted):
+            assert change_id not in self.lost
+            assert self.accepted.setdefault(change_id, answer.version) == (
+                answer.version
+            )
+        elif isinstance(answer, changes.Conflict | changes.NotAccepted):
+            assert change_id not in self.accepted
+            self.lost.add(change_id)
+
+    def attempt(self, change, faults):
+        self.store.set_faults(**faults)
+        answer = self.run(changes.apply, change)
+        self.store.set_faults()
+        is_done = isinstance(answer, result.Success)
+        told = answer.unwrap() if is_done else answer.failure()
+        self.note(change.change_id, told)
+
+    @stateful.rule()
+    def release_delayed_writes(self):
+        self.store.release()
+
+    @stateful.rule(
+        back=strategies.sampled_from([0, 0, 0, 1, 2]),
+        objects=strategies.dictionaries(
+            strategies.sampled_from(NAMES), strategies.binary(max_size=2)
+        ),
+        faults=FAULTS,
+    )
+    def make_change(self, back, objects, faults):
+        change_id = f"c{len(self.changes)}"
+        base = max(0, self.head_seen - back)
+        change = changes.Change(
+            change_id, "ana", "host", "why", base, objects, ()
+        )
+        self.changes[change_id] = change
+        self.attempt(change, faults)
+
+    @stateful.precondition(lambda self: self.changes)
+    @stateful.rule(data=strategies.data(), faults=FAULTS)
+    def run_again(self, data, faults):
+        change_id = data.draw(strategies.sampled_from(sorted(self.changes)))
+        self.attempt(self.changes[change_id], faults)
+
+    @stateful.precondition(lambda self: self.changes)
+    @stateful.rule(data=strategies.data())
+    def settle(self, data):
+        change_id = data.draw(strategies.sampled_from(sorted(self.changes)))
+        answer = self.run(changes.settle, change_id)
+        if isinstance(answer, result.Success):
+            self.note(change_id, answer.unwrap())
+
+    @stateful.rule()
+    def prune(self):
+        self.run(changes.prune)
+
+    @stateful.invariant()
+    def history_and_head_agree(self):
+        history = self.run(changes.history, 100).unwrap()
+        versions = [entry.version for entry in history]
+        assert versions == list(range(len(history), 0, -1))
+        winners = {entry.change_id: entry.version for entry in history}
+        assert len(winners) == len(history)
+        assert self.accepted.items() <= winners.items()
+        assert not self.lost & winners.keys()
+        assert len(history) >= self.head_seen
+        self.head_seen = len(history)
+        snapshot = self.run(changes.load, None).unwrap()
+        if not history:
+            assert snapshot is None
+            return
+        winner = self.changes[history[0].change_id]
+        assert snapshot == (len(history), winner.change_id, winner.objects)
+        assert self.follow() == snapshot
+
+    def follow(self):
+        """Load from the version before, as a relay that is behind does."""
+        entry = self.run(changes.history, 2).unwrap()[-1]
+        behind = changes.Snapshot(
+            entry.version,
+            entry.change_id,
+            self.changes[entry.change_id].objects,
+        )
+        newer = self.run(changes.load, behind).unwrap()
+        return newer or behind
+
+
+TestOperators = OperatorsMachine.TestCase
+TestOperators.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=20
+)
