Add admission by rank with adaptive limits

ANY_RANK in the messages is the level while nothing is shed. Ruled out: keeping slots free for rank 0, since a cap on lesser ranks counts the slots that rank 0 uses and loses less; trusting the estimate at an idle server, since only running requests can correct it.

--- /dev/null
+++ b/src/clementinekeel/admission/limiters/fixed.py
@@ -0,0 +1,26 @@
+"""Baseline: the limit is the number of slots."""
+
+from clementinekeel.admission.limiters import limiter
+from clementinekeel.configuration import model
+
+
+@limiter.LIMITERS.register("fixed")
+class FixedLimiter:
+    """Never adapts."""
+
+    def __init__(
+        self, slots: int, objective: model.Objective, now_ms: int
+    ) -> None:
+        self._slots = slots
+
+    @property
+    def limit(self) -> float:
+        """Number of slots."""
+        return float(self._slots)
+
+    def set_slots(self, slots: int) -> None:
+        """Change the limit."""
+        self._slots = slots
+
+    def on_finished(self, sample: limiter.Sample, now_ms: int) -> None:
+        """Ignore the sample."""
--- /dev/null
+++ b/src/clementinekeel/admission/limiters/gradient.py
@@ -0,0 +1,67 @@
+"""Limit follows the ratio of normal to present service time."""
+
+import math
+
+from clementinekeel.admission.limiters import _window
+from clementinekeel.admission.limiters import limiter
+from clementinekeel.configuration import model
+
+# Slowdown up to which the limit does not fall. Below 1.5 the noise of a
+# window of ten samples would move it.
+TOLERANCE = {
+    model.Objective.GOODPUT: 2.0,
+    model.Objective.RECOVERY_TIME: 1.5,
+}
+# Share of the distance to the new limit by which a window lowers it.
+FALL_SHARE = {
+    model.Objective.GOODPUT: 0.2,
+    model.Objective.RECOVERY_TIME: 0.6,
+}
+# One window never asks for less than half, however slow it was.
+GRADIENT_MIN = 0.5
+FAILED_SHARE_MAX = 0.3
+
+
+@limiter.LIMITERS.register("gradient")
+class GradientLimiter:
+    """Lowers the limit in proportion to the slowdown."""
+
+    def __init__(
+        self, slots: int, objective: model.Objective, now_ms: int
+    ) -> None:
+        self._slots = slots
+        self._limit = float(slots)
+        self._tolerance = TOLERANCE[objective]
+        self._fall_share = FALL_SHARE[objective]
+        self._meter = _window.WindowMeter(now_ms)
+
+    @property
+    def limit(self) -> float:
+        """Present limit."""
+        return self._limit
+
+    def set_slots(self, slots: int) -> None:
+        """Change the upper bound of the limit."""
+        if self._limit >= self._slots:
+            self._limit = float(slots)
+        self._slots = slots
+        self._limit = min(self._limit, float(slots))
+
+    def on_finished(self, sample: limiter.Sample, now_ms: int) -> None:
+        """Adapt the limit at the end of each window."""
+        window = self._meter.add(sample, now_ms)
+        if window is None:
+            return
+        # The square root lets a small limit grow fast in proportion: from 4
+        # to 90 slots in about 1.5 s.
+        growth = math.sqrt(self._limit) if window.is_limited else 0.0
+        target = self._limit * self._gradient(window) + growth
+        if target < self._limit:
+            target = self._limit + self._fall_share * (target - self._limit)
+        self._limit = min(max(target, 1.0), float(self._slots))
+
+    def _gradient(self, window: _window.Window) -> float:
+        if window.failed_share > FAILED_SHARE_MAX:
+            return GRADIENT_MIN
+        ratio = self._tolerance / window.slowdown
+        return min(1.0, max(GRADIENT_MIN, ratio))
--- a/src/clementinekeel/admission/messages.py
+++ b/src/clementinekeel/admission/messages.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Reported while nothing is shed; higher than the rank of any class.
+ANY_RANK = 255
+
 
 class Offer(NamedTuple):
     """A request that asks for a slot.
@@ -58,7 +61,8 @@
     Attributes
     ----------
     rank : int
-        Least important rank that is still admitted.
+        Least important rank that is still admitted, ``ANY_RANK`` if
+        nothing is shed.
     load : float
         Requests running and queued, as a share of the concurrency limit.
     retry_after_ms : int
