--- a/src/clementinekeel/routing/messages.py
+++ b/src/clementinekeel/routing/messages.py
@@ -24,6 +24,9 @@
     LEAVING = "leaving"
     FAILED = "failed"
     UNREACHABLE = "unreachable"
+    # Ended by the caller before a result: frees the in-flight count and says
+    # nothing about the endpoint.
+    CANCELLED = "cancelled"
 
 
 class Observation(NamedTuple):
