--- a/src/clementinekeel/daemon/main.py
+++ b/src/clementinekeel/daemon/main.py
@@ -1,6 +1,6 @@
 """Start and stop of the node process."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 import json
 import signal
 import sys
@@ -41,15 +41,22 @@
     if faults:
         return _refuse(faults)
     log.configure(settings.node.log_level, settings.node.id)
-    uvloop.install()
     try:
-        anyio.run(_run, settings)
+        _start(_run, settings)
     except OSError as error:
         log.event("start_failed", level="ERROR", reason=str(error))
         return EXIT_FAULTY
     return EXIT_DONE
 
 
+def _start(
+    function: Callable[..., Awaitable[None]],
+    settings: settings_module.Settings,
+) -> None:
+    uvloop.install()
+    anyio.run(function, settings)
+
+
 def _refuse(faults: Iterable[ini.Fault]) -> int:
     for fault in faults:
         print(fault, file=sys.stderr)
--- a/src/clementinekeel/platform/changes.py
+++ b/src/clementinekeel/platform/changes.py
@@ -25,6 +25,7 @@
 import msgspec
 from returns import result
 
+from clementinekeel.configuration import snapshot as snapshots
 from clementinekeel.platform import client
 from clementinekeel.platform import errors
 from clementinekeel.platform import messages
@@ -64,20 +65,6 @@
 _CHANGE_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
 
 
-class Snapshot(NamedTuple):
-    """An accepted version of the configuration.
-
-    Attributes
-    ----------
-    objects : dict of str to bytes
-        Name such as ``service/bookings`` to the JSON value.
-    """
-
-    version: int
-    change_id: str
-    objects: dict[str, bytes]
-
-
 class Change(NamedTuple):
     """A change to the configuration.
 
@@ -222,14 +209,14 @@
 
     Attributes
     ----------
-    snapshot : Snapshot or None
+    snapshot : snapshots.Snapshot or None
         None if there is no newer version.
     revision : int
         Revision of the store up to which changes were seen; a watch starts
         at the next.
     """
 
-    snapshot: Snapshot | None
+    snapshot: snapshots.Snapshot | None
     revision: int
 
 
@@ -772,13 +759,13 @@
 
 
 async def load(
-    store: client.StoreClient, known: Snapshot | None
-) -> client.StoreResult[Snapshot | None]:
+    store: client.StoreClient, known: snapshots.Snapshot | None
+) -> client.StoreResult[snapshots.Snapshot | None]:
     """Read the configuration in force, fetching only what changed.
 
     Parameters
     ----------
-    known : Snapshot or None
+    known : snapshots.Snapshot or None
         Version in force at the caller.
 
     Returns
@@ -791,12 +778,12 @@
     return loaded.map(_snapshot)
 
 
-def _snapshot(loaded: Loaded) -> Snapshot | None:
+def _snapshot(loaded: Loaded) -> snapshots.Snapshot | None:
     return loaded.snapshot
 
 
 async def load_at(
-    store: client.StoreClient, known: Snapshot | None
+    store: client.StoreClient, known: snapshots.Snapshot | None
 ) -> client.StoreResult[Loaded]:
     """Read like ``load``, and tell where a watch has to start."""
     try:
@@ -821,7 +808,9 @@
     return isinstance(loaded.failure(), MissingObject)
 
 
-def _check_order(snapshot: Snapshot | None, known: Snapshot | None) -> None:
+def _check_order(
+    snapshot: snapshots.Snapshot | None, known: snapshots.Snapshot | None
+) -> None:
     if snapshot is None or known is None:
         return
     invariants.check(
@@ -833,7 +822,7 @@
 
 
 async def _load_by_audit(
-    store: client.StoreClient, known: Snapshot
+    store: client.StoreClient, known: snapshots.Snapshot
 ) -> client.StoreResult[Loaded] | None:
     """Follow the audit entries from the known version on.
 
@@ -868,7 +857,7 @@
     return await _load_delta(store, known, entries, txn.revision)
 
 
-def _diverged(known: Snapshot, head_version: int) -> Reverted:
+def _diverged(known: snapshots.Snapshot, head_version: int) -> Reverted:
     reason = (
         f"version {known.version} in the store is another change than"
         f" {known.change_id}; the store was restored"
@@ -878,7 +867,7 @@
 
 async def _load_delta(
     store: client.StoreClient,
-    known: Snapshot,
+    known: snapshots.Snapshot,
     entries: tuple[AuditEntry, ...],
     revision: int,
 ) -> client.StoreResult[Loaded]:
@@ -894,12 +883,12 @@
         return result.Failure(fetched.failure())
     objects |= fetched.unwrap()
     last = entries[-1]
-    snapshot = Snapshot(last.version, last.change_id, objects)
+    snapshot = snapshots.Snapshot(last.version, last.change_id, objects)
     return result.Success(Loaded(snapshot, revision))
 
 
 async def _load_by_head(
-    store: client.StoreClient, known: Snapshot | None
+    store: client.StoreClient, known: snapshots.Snapshot | None
 ) -> client.StoreResult[Loaded]:
     read = await store.range(messages.Range(HEAD_KEY))
     if not isinstance(read, result.Success):
@@ -924,7 +913,7 @@
     for name, value in fetched.unwrap().items():
         if _digest(value) != head.objects[name][1]:
             raise MalformedValue("load", name, "digest differs from head")
-    snapshot = Snapshot(head.version, head.change_id, objects)
+    snapshot = snapshots.Snapshot(head.version, head.change_id, objects)
     invariants.check(
         objects.keys() == head.objects.keys(),
         "snapshot_is_complete",
@@ -933,7 +922,9 @@
     return result.Success(Loaded(snapshot, revision))
 
 
-def _find_reversal(known: Snapshot | None, head: _Head) -> Reverted | None:
+def _find_reversal(
+    known: snapshots.Snapshot | None, head: _Head
+) -> Reverted | None:
     if known is None:
         return None
     if head.version < known.version:
@@ -948,7 +939,9 @@
     return None
 
 
-def _present_objects(known: Snapshot | None, head: _Head) -> dict[str, bytes]:
+def _present_objects(
+    known: snapshots.Snapshot | None, head: _Head
+) -> dict[str, bytes]:
     """Return the known objects that are in force unchanged."""
     if known is None:
         return {}
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -2,8 +2,6 @@
 
 import json
 import pathlib
-import sys
-import types
 
 from cleo.testers import application_tester
 import pytest
@@ -279,9 +277,11 @@
     run, tmp_path, monkeypatch
 ):
     seen = []
-    main = types.ModuleType("clementinekeel.daemon.main")
-    main.run = seen.append
-    monkeypatch.setitem(sys.modules, "clementinekeel.daemon.main", main)
+
+    def run_node(_, settings):
+        seen.append(settings)
+
+    monkeypatch.setattr("clementinekeel.daemon.main._start", run_node)
     path = tmp_path / "node.ini"
     path.write_text("[node]\nid = n1\n")
     assert run(f"node --settings {path}")[0] == 1
@@ -296,6 +296,9 @@
     )
     assert run(f"node --settings {path}")[0] == 0
     assert seen[0].node.id == "n1"
+    path.write_text(path.read_text() + "[policies]\nretry = none\n")
+    assert run(f"node --settings {path}")[0] == 1
+    assert len(seen) == 1
 
 
 def test_store_urls_come_from_the_settings(run, store, tmp_path):
--- a/tests/platform/test_change_machine.py
+++ b/tests/platform/test_change_machine.py
@@ -9,6 +9,7 @@
 from returns import result
 import trio.testing
 
+from clementinekeel.configuration import snapshot as snapshots
 from clementinekeel.platform import changes
 from standins import store as standin
 from tests.platform import stand
@@ -139,7 +140,7 @@
     def follow(self):
         """Load from the version before, as a relay that is behind does."""
         entry = self.run(changes.history, 2).unwrap()[-1]
-        behind = changes.Snapshot(
+        behind = snapshots.Snapshot(
             entry.version,
             entry.change_id,
             self.changes[entry.change_id].objects,
--- a/tests/platform/test_changes.py
+++ b/tests/platform/test_changes.py
@@ -6,6 +6,7 @@
 import pytest
 from returns import result
 
+from clementinekeel.configuration import snapshot as snapshots
 from clementinekeel.platform import changes
 from clementinekeel.platform import errors
 from clementinekeel.platform import messages
@@ -215,7 +216,7 @@
         assert await load(store, first) == (2, "two", objects)
         assert store.calls == 2
         assert platform.store.bytes_out < 2_000
-        assert await load(store, changes.Snapshot(2, "two", objects)) is None
+        assert await load(store, snapshots.Snapshot(2, "two", objects)) is None
 
 
 async def test_load_from_far_behind():
