Measure the store's load by changes and relays

Cause: the rates of the store are limited, and no figures were known. Ruled out: serving the stand-in over a port, since calls and bytes do not depend on it and the in-process clock gives the same counts each run. Change: bench/store.py; the relay's fault table uses the control path of the stand-in. Three mutations of the relay (gaps ignored, events ignored, lapsed lease kept) were seen failing again with the new table. Conclusion: readers do not depend on the number of services; writers do, because the head names all objects.

--- /dev/null
+++ b/bench/store.py
@@ -0,0 +1,178 @@
+"""Calls to the store and bytes, for changes and for relays.
+
+``python -m bench.store`` runs against the in-process stand-in with a clock
+that jumps, so that the counts do not depend on the machine.
+"""
+
+import json
+import random
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import trio.testing
+
+from clementinekeel.platform import changes
+from clementinekeel.platform import client
+from clementinekeel.platform import relay
+from clementinekeel.runtime import log
+from standins import store as standin
+from standins import transport
+
+SERVICES = (16, 200, 2_700)
+ENDPOINTS_PER_SERVICE = 10
+CHANGES = 5
+RELAYS = 27
+OUTAGE_S = 120
+QUIET_S = 600
+RECOVERY_S = 10
+
+
+class Row(NamedTuple):
+    """One line of the table."""
+
+    name: str
+    calls: float
+    bytes_sent: float
+    bytes_received: float
+
+
+def make_objects(services: int, mark: int) -> dict[str, bytes]:
+    """Return an inventory; the mark changes one service."""
+    objects = {}
+    for number in range(services):
+        slots = 90 + (mark if number == 0 else 0)
+        endpoints = [
+            {"name": f"e{number}-{i}", "zone": f"z{i % 9}", "slots": slots}
+            for i in range(ENDPOINTS_PER_SERVICE)
+        ]
+        value = json.dumps({"endpoints": endpoints}).encode()
+        objects[f"service/name-of-service-{number:05}"] = value
+    return objects
+
+
+def make_change(services: int, base: int) -> changes.Change:
+    """Return a change of one service, or the import for base 0."""
+    change_id = random.Random(base).randbytes(8).hex()
+    return changes.Change(
+        change_id,
+        "operator",
+        "host",
+        "bench",
+        base,
+        make_objects(services, base),
+        ("slots of one service",),
+    )
+
+
+def open_client(
+    application: standin.StoreApplication,
+    tasks: anyio.abc.TaskGroup,
+    seed: int = 0,
+) -> client.StoreClient:
+    """Return a client of the stand-in."""
+    connection = transport.StreamingTransport(application, tasks)
+    generator = random.Random(seed)
+    return client.StoreClient(["http://store"], generator, connection)
+
+
+def take(store: client.StoreClient, name: str, count: int = 1) -> Row:
+    """Return the client's counts per unit, and set them to zero."""
+    row = Row(
+        name,
+        store.calls / count,
+        store.bytes_sent / count,
+        store.bytes_received / count,
+    )
+    store.calls = store.bytes_sent = store.bytes_received = 0
+    return row
+
+
+async def measure_changes(services: int) -> list[Row]:
+    """Measure an import, small changes, and how they are read."""
+    rows = []
+    async with anyio.create_task_group() as tasks:
+        application = standin.StoreApplication()
+        operator = open_client(application, tasks)
+        reader = open_client(application, tasks)
+        size = f"{services} services"
+        async with operator, reader:
+            (await changes.apply(operator, make_change(services, 0))).unwrap()
+            rows.append(take(operator, f"{size}: import"))
+            known = (await changes.load(reader, None)).unwrap()
+            rows.append(take(reader, f"{size}: first load"))
+            for base in range(1, CHANGES + 1):
+                change = make_change(services, base)
+                (await changes.apply(operator, change)).unwrap()
+                known = (await changes.load(reader, known)).unwrap()
+            rows.append(take(operator, f"{size}: change of one", CHANGES))
+            rows.append(take(reader, f"{size}: load of one", CHANGES))
+        tasks.cancel_scope.cancel()
+    return rows
+
+
+async def measure_relays() -> list[Row]:
+    """Measure one quiet relay, and a fleet's relays after an outage."""
+    async with anyio.create_task_group() as tasks:
+        application = standin.StoreApplication()
+        stores = [open_client(application, tasks, s) for s in range(RELAYS)]
+        operator = open_client(application, tasks)
+        (await changes.apply(operator, make_change(200, 0))).unwrap()
+        for number, store in enumerate(stores):
+            task = relay.RelayTask(
+                store,
+                lambda snapshot: None,
+                "10.0.0.1:7000",
+                f"z{number % 9}",
+                f"n{number}",
+                random.Random(number),
+            )
+            task.set_active(True)
+            tasks.start_soon(task.run)
+        await anyio.sleep(60)
+        take(stores[0], "")
+        await anyio.sleep(QUIET_S)
+        quiet = take(stores[0], "one quiet relay, per second", QUIET_S)
+        application.set_faults(down="closed")
+        await anyio.sleep(OUTAGE_S)
+        application.set_faults()
+        peak, total = 0, 0
+        for _ in range(RECOVERY_S):
+            for store in stores:
+                take(store, "")
+            await anyio.sleep(1)
+            calls = sum(store.calls for store in stores)
+            peak, total = max(peak, calls), total + calls
+        tasks.cancel_scope.cancel()
+    name = f"{RELAYS} relays, first {RECOVERY_S} s after an outage"
+    return [
+        quiet,
+        Row(f"{name}, per second", total / RECOVERY_S, 0, 0),
+        Row(f"{name}, highest second", peak, 0, 0),
+    ]
+
+
+async def measure() -> list[Row]:
+    """Run all measurements."""
+    rows: list[Row] = []
+    for services in SERVICES:
+        rows += await measure_changes(services)
+    return rows + await measure_relays()
+
+
+def main() -> None:
+    """Print the table."""
+    log.configure("ERROR", "bench")
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    options = {"clock": clock}
+    rows = anyio.run(measure, backend="trio", backend_options=options)
+    print(f"{'':52} {'calls':>8} {'sent B':>11} {'received B':>11}")
+    for row in rows:
+        print(
+            f"{row.name:52} {row.calls:8.2f} {row.bytes_sent:11,.0f}"
+            f" {row.bytes_received:11,.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -60,53 +60,20 @@
     (await changes.apply(store, change)).unwrap()
 
 
-def do_nothing(platform):
-    return
-
-
-def break_watches(platform):
-    platform.store.set_faults(watches_broken=True)
-
-
-def take_down(platform):
-    platform.store.set_faults(down="503")
-
-
-def cut_off(platform):
-    platform.store.set_faults(down="closed")
-
-
-def slow_down(platform):
-    platform.store.set_faults(delay_ms=3_000)
-
-
-def lose_answers(platform):
-    platform.store.set_faults(lose_share=1.0)
-
-
-def compact(platform):
-    break_watches(platform)
-    platform.store.compact()
-
-
-def expire_leases(platform):
-    platform.store.expire_leases()
-
-
-FAULTS = [
-    do_nothing,
-    break_watches,
-    take_down,
-    cut_off,
-    slow_down,
-    lose_answers,
-    compact,
-    expire_leases,
-]
+FAULTS = {
+    "none": {},
+    "watch broken": {"watches_broken": True},
+    "store down": {"down": "503"},
+    "store cut off": {"down": "closed"},
+    "store slow": {"delay_ms": 3_000},
+    "answers lost": {"lose_share": 1.0},
+    "gap in revisions": {"watches_broken": True, "compact": True},
+    "lease lapsed": {"expire_leases": True},
+}
 
 
 @pytest.mark.parametrize("times", [1, 2], ids=["once", "twice"])
-@pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.__name__)
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS.keys())
 async def test_relay_catches_up(fault, times):
     """Versions accepted around a fault are handed out, in growing order."""
     async with stand.open_client() as (platform, operator):
@@ -117,9 +84,9 @@
         await anyio.sleep(20)
         for attempt in range(times):
             # Accepted while the watch is broken, so that it is missed.
-            break_watches(platform)
+            platform.store.set_faults(watches_broken=True)
             await accept(operator, 2 + 2 * attempt)
-            fault(platform)
+            platform.store.control("PUT", dict(fault))
             await anyio.sleep(60)
             platform.store.set_faults()
             await accept(operator, 3 + 2 * attempt)
@@ -153,7 +120,7 @@
         node.task.set_active(True)
         for version in range(1, 6):
             await anyio.sleep(10)
-            break_watches(platform)
+            platform.store.set_faults(watches_broken=True)
             await anyio.lowlevel.checkpoint()
             platform.store.set_faults()
             await accept(operator, version)
@@ -305,13 +272,13 @@
     """27 relays that return at one moment would meet a cold store."""
     async with stand.open_platform() as platform:
         if not uptime_s:
-            take_down(platform)
+            platform.store.set_faults(down="503")
         nodes = [Relay(platform, seed, f"n{seed}") for seed in range(27)]
         for node in nodes:
             platform.tasks.start_soon(node.run)
             node.task.set_active(True)
         await anyio.sleep(uptime_s)
-        take_down(platform)
+        platform.store.set_faults(down="503")
         await anyio.sleep(OUTAGE_S)
         platform.store.set_faults()
         peak = 0
