--- a/src/clementinekeel/admission/controller.py
+++ b/src/clementinekeel/admission/controller.py
@@ -252,11 +252,15 @@
 
     def _drop_late(self, now_ms: int) -> list[messages.Decision]:
         decisions: list[messages.Decision] = []
+        if not self._queue:
+            return decisions
+        # An idle backend server refutes an estimate, not a deadline.
+        is_trusted = self._trusts_estimate(now_ms)
+        needs_ms: dict[int, float] = {}
         for entry in self._queue.entries:
-            # An idle backend server refutes an estimate, not a deadline.
-            need_ms = 0.0
-            if self._trusts_estimate(now_ms):
-                need_ms = self._service_times.safe_ms(entry.rank)
+            if is_trusted and entry.rank not in needs_ms:
+                needs_ms[entry.rank] = self._service_times.safe_ms(entry.rank)
+            need_ms = needs_ms.get(entry.rank, 0.0)
             if now_ms + need_ms < entry.expires_ms:
                 continue
             self._queue.remove(entry.stream)
