Let a cut-off node serve on after a pause

Cause: a node became ready only after an ack, so one that was paused while all others died, or a new one whose entry points are all gone, stayed out of service for good. A zone that is cut off must go on with what it can. Ruled out: no confirmation at all, since a thawed node must learn first that it was removed. Change: after a pause and 10 s without any ack a node that was confirmed before is ready again; a new node is ready when the store has told it the newest configuration.

--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -331,7 +331,8 @@
         }
 
     def _on_store_snapshot(self, snapshot: snapshots.Snapshot) -> None:
-        self.keeper.offer(snapshot)
+        if self.keeper.offer(snapshot):
+            self.gossip.confirm()
 
     def _on_view_change(self, effects: membership_messages.Effects) -> None:
         self.directory.on_change()
--- a/src/clementinekeel/membership/membership.py
+++ b/src/clementinekeel/membership/membership.py
@@ -43,6 +43,9 @@
 ENTRY_DIGEST_INTERVAL_MS = 30_000
 """Finds parts of the fleet that do not know each other."""
 RECONNECT_INTERVAL_MS = 5_000
+ALONE_MS = 10_000
+"""Without any ack for this long after a pause, a node serves on: a zone that
+is cut off must go on with what it has."""
 CONFIRM_INTERVAL_MS = 500
 CONFIRMERS = 3
 URGENT_PROBES = 3
@@ -105,6 +108,8 @@
         self._last_tick_ms = now_ms
         self._heard_ms = now_ms
         self._round_trip_ms = now_ms - ISOLATED_MS
+        self._was_confirmed = False
+        self._paused_ms = now_ms
         self._has_joined = False
         self._was_relay = False
         self._published_ms = now_ms
@@ -241,6 +246,17 @@
         """Announce that the node takes no new work."""
         return self.update_own(now_ms, state=MemberState.LEAVING)
 
+    def confirm(self, now_ms: int) -> Effects:
+        """Take note that the store has told the newest configuration.
+
+        A node whose entry points are all gone can be ready then, although no
+        member has answered.
+        """
+        effects = self._begin(now_ms)
+        self._confirmation.skip()
+        self._follow_confirmation()
+        return effects
+
     def tick(self, now_ms: int) -> Effects:
         """Do what is due; to be called every ``TICK_INTERVAL_MS``."""
         effects = self._begin(now_ms)
@@ -373,6 +389,8 @@
         # say nothing about the others; and the others may have removed us.
         self._detector.reset()
         self._zones.reset(self._now_ms)
+        self._was_confirmed |= self.is_confirmed
+        self._paused_ms = self._now_ms
         self._confirmation.reset()
         self._round_trip_ms = self._now_ms - ISOLATED_MS
         self._joining.restart(self._now_ms)
@@ -631,7 +649,10 @@
         count = min(CONFIRMERS, len(relays))
         for record in self._records(self._random.sample(relays, count)):
             self._probe(record.key, record.address, False)
-        if len(self._view) == 1 and not self._joining.entry_points:
+        is_first = len(self._view) == 1 and not self._joining.entry_points
+        unanswered_ms = self._now_ms - self._paused_ms
+        is_alone = self._was_confirmed and unanswered_ms >= ALONE_MS
+        if is_first or is_alone:
             self._confirmation.skip()
             self._follow_confirmation()
 
--- a/src/clementinekeel/nodes/gossip.py
+++ b/src/clementinekeel/nodes/gossip.py
@@ -101,6 +101,10 @@
         """Change fields of the own record; see ``Membership``."""
         self._handle(self._membership.update_own(clock.now_ms(), **changes))
 
+    def confirm(self) -> None:
+        """Take note that the store has told the newest configuration."""
+        self._handle(self._membership.confirm(clock.now_ms()))
+
     def leave(self) -> None:
         """Announce that the node takes no new work."""
         self._handle(self._membership.leave(clock.now_ms()))
--- a/tests/membership/test_faults.py
+++ b/tests/membership/test_faults.py
@@ -207,6 +207,32 @@
     fleet.run(15 * S)
 
 
+def store_answers_although_all_seeds_are_dead(fleet):
+    node = fleet.start("late", "a", "lookup", ("gone:1",))
+    fleet.run(20 * S)
+    assert node.own.state is records.MemberState.JOINING
+    fleet.deliver(node, node.confirm(fleet.now_ms))
+    assert node.own.state is records.MemberState.READY
+    node.add_entry_points(["a5:1"])
+    fleet.run(15 * S)
+
+
+def all_others_die_during_a_pause(fleet):
+    """A paused node that nobody answers must go on serving."""
+    node = fleet.a[2]
+    others = [other for other in fleet.nodes.values() if other is not node]
+    fleet.pause(node)
+    fleet.run(5 * S)
+    fleet.cut_between([node], others)
+    fleet.resume(node)
+    fleet.run(8 * S)
+    assert node.own.state is records.MemberState.JOINING
+    fleet.run(5 * S)
+    assert node.own.state is records.MemberState.READY
+    fleet.cut.clear()
+    fleet.run(30 * S)
+
+
 def replayed_old_record(fleet):
     old = fleet.a[3].own
     fleet.kill(fleet.a[3])
@@ -279,6 +305,8 @@
     other_node_at_the_same_address,
     duplicate_node_id,
     all_seeds_dead,
+    store_answers_although_all_seeds_are_dead,
+    all_others_die_during_a_pause,
     replayed_old_record,
     falsely_reported_gone,
     kill_during_zone_cut,
