--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,8 @@
     "bench.routing",
     "bench.membership",
     "bench.store",
+    "bench.configuration",
+    "bench.sessions",
 )
 
 
--- a/src/clementinekeel/configuration/objects.py
+++ b/src/clementinekeel/configuration/objects.py
@@ -76,6 +76,54 @@
     return result.Success(configuration)
 
 
+def join_change(
+    before: model.Configuration,
+    known: Objects,
+    version: int,
+    change_id: str,
+    objects: Objects,
+) -> result.Result[model.Configuration, reader.Faults]:
+    """Return the configuration that objects hold, given an earlier one.
+
+    Only services whose objects differ are decoded and checked, which takes
+    time in proportion to the change. Whether names are unique among all
+    services is left to the full check when the change was applied.
+
+    Parameters
+    ----------
+    before : Configuration
+        Earlier configuration.
+    known : Objects
+        Objects it was made of.
+    """
+    changed = [name for name in objects if objects[name] != known.get(name)]
+    is_small = objects.keys() == known.keys() and all(
+        name.startswith(SERVICE_PREFIX) for name in changed
+    )
+    if not is_small:
+        return join(version, change_id, objects)
+    services: dict[str, model.ServiceSpec] = {}
+    for name in changed:
+        try:
+            service = _decode(name, objects)
+        except msgspec.MsgspecError as error:
+            return result.Failure((ini.Fault(name, 0, "", "", str(error)),))
+        services[service.name] = service
+    part = before.inventory._replace(services=tuple(services.values()))
+    problems = checks.check_inventory(part)
+    if problems:
+        faults = [ini.Fault("objects", 0, *problem) for problem in problems]
+        return result.Failure(ini.sort_faults(faults))
+    merged = tuple(
+        services.get(service.name, service)
+        for service in before.inventory.services
+    )
+    inventory = before.inventory._replace(services=merged)
+    return result.Success(
+        model.Configuration(version, change_id, inventory, before.rules)
+    )
+
+
 def difference(old: Objects, new: Objects) -> tuple[str, ...]:
     """Return what differs between two sets of objects, as readable lines."""
     lines: list[str] = []
--- a/src/clementinekeel/daemon/keeper.py
+++ b/src/clementinekeel/daemon/keeper.py
@@ -4,10 +4,12 @@
 from typing import Protocol
 
 import anyio
+from returns import result
 
 from clementinekeel.configuration import deltas
 from clementinekeel.configuration import model
 from clementinekeel.configuration import objects
+from clementinekeel.configuration import reader
 from clementinekeel.configuration import snapshot as snapshots
 from clementinekeel.nodes import messages
 from clementinekeel.nodes import pool
@@ -85,9 +87,7 @@
         """
         if snapshot.version <= self.version:
             return False
-        joined = objects.join(
-            snapshot.version, snapshot.change_id, snapshot.objects
-        )
+        joined = self._join(snapshot)
         configuration = joined.value_or(None)
         if configuration is None:
             self._reject(snapshot.version, str(joined.failure()))
@@ -143,6 +143,15 @@
         else:
             self.offer(snapshot)
 
+    def _join(
+        self, snapshot: snapshots.Snapshot
+    ) -> result.Result[model.Configuration, reader.Faults]:
+        if self._current is None or self._snapshot is None:
+            return objects.join(*snapshot)
+        return objects.join_change(
+            self._current, self._snapshot.objects, *snapshot
+        )
+
     def _reject(self, version: int, reason: str) -> None:
         if version and version <= self.unusable_version:
             return
--- a/tests/configuration/test_objects.py
+++ b/tests/configuration/test_objects.py
@@ -168,3 +168,39 @@
         "service/bookings: endpoints bookings-4: removed",
         "service/bursary: removed",
     )
+
+
+@pytest.mark.parametrize(
+    "edit",
+    [
+        pytest.param(lambda name, parts: {}, id="nothing"),
+        pytest.param(
+            lambda name, parts: {name: parts[name].replace(b"0,", b"1,", 1)},
+            id="slots",
+        ),
+        pytest.param(
+            lambda name, parts: {name: parts[name].replace(b"0,", b"-1,", 1)},
+            id="faulty slots",
+        ),
+        pytest.param(lambda name, parts: {name: b"["}, id="truncated"),
+        pytest.param(
+            lambda name, parts: {
+                objects.RULES: parts[objects.RULES].replace(b"2000", b"1999")
+            },
+            id="rules",
+        ),
+        pytest.param(
+            lambda name, parts: {"service/other": parts[name]},
+            id="added under a wrong name",
+        ),
+    ],
+)
+def test_join_change_equals_join(sources, edit):
+    """A node that follows changes must hold what a new one would."""
+    parts = objects.split(*reader.read(*sources).unwrap())
+    before = objects.join(1, "one", parts).unwrap()
+    name = next(n for n in parts if n.startswith(objects.SERVICE_PREFIX))
+    after = {**parts, **edit(name, parts)}
+    full = objects.join(2, "two", after)
+    quick = objects.join_change(before, parts, 2, "two", after)
+    assert quick.value_or(None) == full.value_or(None)
