Deliver the first part of a long answer once, within bounded memory

Cause: the first chunk of an answer over 64 KiB stood in the answer and again in the stream of its parts. Second cause: an answer of 50 MiB took 8.4 MiB at the owner, because the event loop reads up to 32 times 256 KiB before it can be paused. Third cause: a node did not start when the TCP port with the number that was picked for UDP was in use. Ruled out for the memory: the window of 16 chunks (8 chunks: 8.9 MiB) and the size of reads (64 or 256 KiB: 7.6 to 9.3 MiB). Change: a long answer comes from its stream only; the receive buffer of connections to the backend server is 256 KiB; a picked port is tried again.

--- a/src/clementinekeel/backends/connection.py
+++ b/src/clementinekeel/backends/connection.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 import select
+import socket as socket_module
 from typing import NamedTuple
 
 import anyio
@@ -15,8 +16,12 @@
 from clementinekeel.backends import errors
 from clementinekeel.runtime import clock
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 256 * 1024
+"""As much as the event loop reads at once; less would be copied again."""
 MAX_HEAD_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 256 * 1024
+"""The event loop reads up to 32 times in a row before it can be paused. The
+kernel's buffer bounds what a long answer puts into memory that way."""
 MAX_IDLE_MS = 4_000
 """Shorter than the keep-alive time of common HTTP servers (5 s)."""
 
@@ -52,6 +57,11 @@
         self._idle_since_ms = clock.now_ms()
         socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._descriptor = socket.fileno()
+        socket.setsockopt(
+            socket_module.SOL_SOCKET,
+            socket_module.SO_RCVBUF,
+            RECEIVE_BUFFER_BYTES,
+        )
 
     @property
     def is_reusable(self) -> bool:
--- a/src/clementinekeel/callers/app.py
+++ b/src/clementinekeel/callers/app.py
@@ -260,7 +260,6 @@
         if answer.rest is None:
             await self._send_body(answer.body, False)
             return
-        await self._send_body(answer.body, True)
         try:
             async for data in answer.rest:
                 await self._send_body(data, True)
--- a/src/clementinekeel/callers/messages.py
+++ b/src/clementinekeel/callers/messages.py
@@ -92,11 +92,11 @@
     outcome : Outcome
         Completed or failed.
     body : bytes
-        First part of the body.
+        The whole body, or nothing if ``rest`` has it.
     length : int
         Length of the body in bytes, or -1 if it is not known.
     rest : AsyncIterator of bytes or None
-        Further parts; None if the first part is the whole body. It raises
+        Parts of a long body; None if ``body`` is the whole body. It raises
         ``runtime.errors.StepError`` if the body is cut.
     """
 
--- a/src/clementinekeel/daemon/attempt.py
+++ b/src/clementinekeel/daemon/attempt.py
@@ -227,7 +227,7 @@
 
 
 async def rest_of(answered: Answered) -> AsyncIterator[bytes]:
-    """Yield what follows the first part of an answer.
+    """Yield the parts of a long answer, from its beginning.
 
     Raises
     ------
--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -624,7 +624,8 @@
         answer.status,
         answer.headers,
         key,
-        result.body,
+        # The first part of a long answer is also the first of the stream.
+        result.body if answer.last else b"",
         answer.length,
         None if answer.last else attempt.rest_of(result),
     )
--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -46,6 +46,7 @@
 INCARNATION_BITS = 63
 MAX_SOCKETS = 16_384
 """Sessions use two sockets each; the default of zmq is 1,023."""
+BIND_ATTEMPTS = 8
 LEAVING_NOTICE_MS = 500
 """Time for the gossip to spread that the node leaves, before it ends."""
 
@@ -99,9 +100,18 @@
             "backend": http_server.bind(settings.backend.listen),
             "operators": http_server.bind(settings.operators.listen),
         }
-        # zmq listens on the TCP port whose UDP twin has the gossip.
-        gossip_socket = await gossip_module.bind(settings.nodes.listen)
-        return cls(settings, listeners, gossip_socket)
+        # zmq listens on the TCP port whose UDP twin has the gossip. A port
+        # that was picked for UDP may be in use for TCP.
+        is_picked = settings.nodes.listen.endswith(":0")
+        reason = ""
+        for _ in range(BIND_ATTEMPTS if is_picked else 1):
+            gossip_socket = await gossip_module.bind(settings.nodes.listen)
+            try:
+                return cls(settings, listeners, gossip_socket)
+            except zmq.ZMQError as error:
+                await gossip_socket.aclose()
+                reason = str(error)
+        raise OSError(reason)
 
     @property
     def addresses(self) -> dict[str, str]:
