Correct sessions and streams between nodes, with tests

Found: the first hello was sent before the connection stood, so a session opened after 250 ms; a failure reported after an answer had begun was ignored, so its reader waited without end; short calls restarted the time of silence, so a silent node was never noticed; a faulty address ended the task of all sessions; a send could consume the event of a received message; the clock bound could be 1 ms ahead; a replayed hello ended calls in flight; a call closed without a reply stayed open at the server, which then dropped the session; credit was not checked; zmq accepted frames of any size; monitor sockets were not closed. Ruled out: sending by a blocking call, since handlers must not block. Change: hello at the connection event, no reconnect of a socket, strict credit, limits on frames, and tests over loopback with a paused clock. Proofs, each mutated and seen failing (or hanging) in tests/nodes: no MAXMSGSIZE; no second look before a send fails; monitor left open; hello only at the timer; address error not caught; incarnation, sequence, nonce, session or stream number not checked at either side; clock bound without drift; second reply ignored; silence restarted by each call; lost connection ignored; any kind taken as a reply; hello of another nonce accepted; chunk before the reply; digest not checked; credit granted for the first part; sender going on after a gap. Not proven: the wake-up after a full batch and the rounding of the clock bound; their mutations passed the tests.

--- a/src/clementinekeel/nodes/_socket.py
+++ b/src/clementinekeel/nodes/_socket.py
@@ -6,12 +6,20 @@
 import anyio
 import anyio.lowlevel
 import zmq
+import zmq.utils.monitor
+
+from clementinekeel.nodes import codec
 
 MAX_BATCH = 64
 """Messages handled before other tasks of the event loop get a turn."""
 HIGH_WATER_MESSAGES = 2_000
+MAX_FRAME_BYTES = codec.MAX_HEAD_BYTES
+"""Largest frame of a valid message. zmq closes a connection that sends a
+longer one, before it is held in memory."""
+NO_RECONNECT = -1
 
 FramesHandler = Callable[[list[bytes]], None]
+EventHandler = Callable[[int], None]
 
 
 class MessageSocket:
@@ -37,10 +45,15 @@
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
         self._socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MESSAGES)
         self._socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MESSAGES)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        # A session ends with its connection. A second connection of the same
+        # socket could carry messages of the first.
+        self._socket.setsockopt(zmq.RECONNECT_IVL, NO_RECONNECT)
         if kind == zmq.ROUTER:
             self._socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
         self._descriptor = int(self._socket.getsockopt(zmq.FD))
         self._on_frames = on_frames
+        self._monitor: zmq.Socket[Any] | None = None
         self._monitor_descriptor = -1
         self._is_draining = False
         self._is_closed = False
@@ -60,29 +73,34 @@
         """Connect to ``ip:port`` in the background."""
         self._socket.connect(f"tcp://{address}")
 
-    async def watch(self, events: int, on_event: Callable[[], None]) -> None:
-        """Call a handler at each connection event until closed.
+    def monitor(self, events: int) -> None:
+        """Record connection events from now on, for ``watch``.
 
         Parameters
         ----------
         events : int
             Events of zmq's socket monitor.
+        """
+        self._monitor = self._socket.get_monitor_socket(events)
+        self._monitor_descriptor = int(self._monitor.getsockopt(zmq.FD))
+
+    async def watch(self, on_event: EventHandler) -> None:
+        """Call a handler at each recorded event until closed.
+
+        Parameters
+        ----------
         on_event : Callable
-            Must not block.
+            Called with the event's number. Must not block.
         """
-        if self._is_closed:
-            return
-        monitor = self._socket.get_monitor_socket(events)
-        self._monitor_descriptor = int(monitor.getsockopt(zmq.FD))
-        try:
-            while not self._is_closed:
-                while _has_event(monitor):
-                    on_event()
-                    if self._is_closed:
-                        return
+        while not self._is_closed:
+            event = self._next_event()
+            if event is not None:
+                on_event(event)
+                continue
+            try:
                 await anyio.wait_readable(self._monitor_descriptor)
-        except anyio.ClosedResourceError:
-            return
+            except anyio.ClosedResourceError:
+                return
 
     def send(self, frames: list[bytes]) -> bool:
         """Send a message without blocking.
@@ -94,15 +112,14 @@
         """
         if self._is_closed:
             return False
-        try:
-            self._socket.send_multipart(frames, zmq.NOBLOCK, copy=False)
-        except zmq.ZMQError:
-            return False
-        # The descriptor is edge-triggered: a send can consume the event
-        # that announced a received message.
-        if not self._is_draining:
-            self.drain()
-        return True
+        is_sent = self._try_send(frames) or self._retry_send(frames)
+        # The descriptor is edge-triggered: a send, also one that fails, can
+        # consume the event that announced a received message.
+        if self.drain() and not self._is_closed:
+            # More messages wait than one batch holds, and the descriptor
+            # will not announce them again: wake the task in ``run``.
+            anyio.notify_closing(self._descriptor)
+        return is_sent
 
     def drain(self) -> bool:
         """Handle received messages.
@@ -129,7 +146,8 @@
                 try:
                     await anyio.wait_readable(self._descriptor)
                 except anyio.ClosedResourceError:
-                    return
+                    # Closed, or woken by ``send``.
+                    continue
 
     def close(self) -> None:
         """Close the socket and drop its queued messages."""
@@ -140,8 +158,24 @@
         if self._monitor_descriptor >= 0:
             anyio.notify_closing(self._monitor_descriptor)
         self._socket.disable_monitor()
+        if self._monitor is not None:
+            self._monitor.close(linger=0)
         self._socket.close(linger=0)
 
+    def _try_send(self, frames: list[bytes]) -> bool:
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK, copy=False)
+        except zmq.ZMQError:
+            return False
+        return True
+
+    def _retry_send(self, frames: list[bytes]) -> bool:
+        # A send does not always look at what the I/O thread reports, for
+        # example a new connection or room in the queue; this query does.
+        if not int(self._socket.getsockopt(zmq.EVENTS)) & zmq.POLLOUT:
+            return False
+        return self._try_send(frames)
+
     def _receive_one(self) -> bool:
         if self._is_closed:
             return False
@@ -152,10 +186,12 @@
         self._on_frames(frames)
         return True
 
-
-def _has_event(monitor: "zmq.Socket[Any]") -> bool:
-    try:
-        monitor.recv_multipart(zmq.NOBLOCK)
-    except zmq.ZMQError:
-        return False
-    return True
+    def _next_event(self) -> int | None:
+        assert self._monitor is not None
+        try:
+            message = zmq.utils.monitor.recv_monitor_message(
+                self._monitor, zmq.NOBLOCK
+            )
+        except zmq.ZMQError:
+            return None
+        return int(message["event"])
--- a/src/clementinekeel/nodes/pool.py
+++ b/src/clementinekeel/nodes/pool.py
@@ -77,6 +77,8 @@
             )
             self._sessions[peer] = session
             self._tasks.start_soon(self._run, peer, session)
+        # The caller uses it next, so that the sweep must not close it.
+        session.last_used_ms = clock.now_ms()
         return session
 
     async def _run(self, peer: PeerId, session: node_session.Session) -> None:
--- a/src/clementinekeel/nodes/server.py
+++ b/src/clementinekeel/nodes/server.py
@@ -1,5 +1,6 @@
 """Server side of the connections from other nodes."""
 
+from collections.abc import Callable
 import random
 from typing import Any, Protocol
 
@@ -71,7 +72,8 @@
     ) -> None:
         self.request = request
         self.number: int = request.stream
-        self.inflow = streams.Inflow(session.node_id, self._grant)
+        # The rest of a body is sent only after ``invite_body``.
+        self.inflow = streams.Inflow(session.node_id, self._grant, credit=0)
         self.inflow.open(body, getattr(request, "last", True))
         self.outflow = streams.Outflow(
             self.number,
@@ -89,7 +91,7 @@
 
     def invite_body(self) -> None:
         """Let the client send the rest of the body."""
-        self._grant(streams.WINDOW_CHUNKS)
+        self.inflow.grant(streams.WINDOW_CHUNKS)
 
     def reply(self, message: Any, body: bytes = b"") -> bool:
         """Send the first message about the request."""
@@ -142,6 +144,8 @@
         """Tell whether a message is new and belongs to this session."""
         if envelope.session != self.number:
             return False
+        if envelope.incarnation != self.incarnation:
+            return False
         if envelope.sequence <= self._peer_sequence:
             return False
         self._peer_sequence = envelope.sequence
@@ -202,12 +206,16 @@
         drop_log: drops.DropLog,
     ) -> None:
         self._codec = message_codec
-        self._handler = handler
         self._drops = drop_log
         self._socket = _socket.MessageSocket(
             context, zmq.ROUTER, self._on_frames
         )
         self._sessions: dict[bytes, PeerSession] = {}
+        self._handlers: dict[type[Any], Callable[[ServerStream], None]] = {
+            messages.Call: handler.on_call,
+            messages.Inquire: handler.on_inquire,
+            messages.ConfigurationRequest: handler.on_configuration_request,
+        }
 
     @property
     def endpoint(self) -> str:
@@ -273,14 +281,17 @@
 
     def _on_hello(self, routing_id: bytes, message: codec.Message) -> None:
         session = self._sessions.get(routing_id)
-        if session is None or session.nonce != message.payload.nonce:
-            if session is not None:
-                session.end("replaced by a new session")
-            elif len(self._sessions) >= MAX_SESSIONS:
+        if session is None:
+            if len(self._sessions) >= MAX_SESSIONS:
                 self._drops.drop(message.envelope.sender, "too many sessions")
                 return
             session = PeerSession(self, routing_id, message)
             self._sessions[routing_id] = session
+        elif session.nonce != message.payload.nonce:
+            # A connection has one session; a replayed hello must not end
+            # the calls in flight on it.
+            self._drops.drop(session.node_id, "second session")
+            return
         session.last_heard_ms = clock.now_ms()
         session.send(messages.Welcome(session.nonce, session.number))
 
@@ -322,14 +333,7 @@
     def _on_request(
         self, session: PeerSession, request: Any, body: bytes
     ) -> None:
-        handlers = {
-            messages.Call: self._handler.on_call,
-            messages.Inquire: self._handler.on_inquire,
-            messages.ConfigurationRequest: (
-                self._handler.on_configuration_request
-            ),
-        }
-        handler = handlers.get(type(request))
+        handler = self._handlers.get(type(request))
         if handler is None:
             self._drops.drop(session.node_id, "unexpected message")
             return
--- a/src/clementinekeel/nodes/session.py
+++ b/src/clementinekeel/nodes/session.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 import random
 from typing import Any, NamedTuple
 
@@ -31,6 +32,7 @@
 """Allowance for different rates of two monotonic clocks."""
 NONCE_BITS = 63
 
+_CONNECTED_EVENT = zmq.EVENT_HANDSHAKE_SUCCEEDED
 _LOST_EVENTS = (
     zmq.EVENT_DISCONNECTED
     | zmq.EVENT_CLOSED
@@ -38,6 +40,21 @@
     | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
 )
 
+_REPLIES = (
+    messages.Answer,
+    messages.Refused,
+    messages.Failed,
+    messages.Record,
+    messages.ConfigurationReply,
+)
+_Reply = (
+    messages.Answer
+    | messages.Refused
+    | messages.Failed
+    | messages.Record
+    | messages.ConfigurationReply
+)
+
 
 class State(enum.Enum):
     """Stage of a session."""
@@ -81,7 +98,9 @@
     def __init__(self, session: "Session", number: int, sent_ms: int) -> None:
         self.number = number
         self.sent_ms = sent_ms
-        self.inflow = streams.Inflow(session.node_id, self._grant)
+        self.inflow = streams.Inflow(
+            session.node_id, self._grant, credit=streams.WINDOW_CHUNKS
+        )
         self.outflow = streams.Outflow(
             number, session.node_id, session.send, credit=0
         )
@@ -102,15 +121,21 @@
     def cancel(self, reason: str) -> None:
         """Tell the other node that the call is no longer waited for."""
         self._session.send(messages.Cancel(self.number, reason))
-        self.close()
+        self._session.forget(self.number)
 
     def close(self) -> None:
         """Forget the call; later messages about it are dropped."""
+        if not self.has_reply:
+            # The other node still has the call, and expects pings of a
+            # session with calls in flight.
+            self.cancel("no longer waited for")
         self._session.forget(self.number)
 
     def on_reply(self, message: Any, body: bytes) -> None:
-        """Take the first message about the call."""
+        """Take a message about the call; the first one is the reply."""
         if self._replied.is_set():
+            # The other node could not finish the answer that it has begun.
+            self.inflow.fail(getattr(message, "reason", "second reply"))
             return
         self._reply = Reply(message, body)
         if isinstance(message, messages.Answer):
@@ -121,11 +146,11 @@
             self.outflow.fail("call ended")
         self._replied.set()
 
-    def on_lost(self, reason: str) -> None:
+    def on_lost(self, reason: str, was_sent: bool) -> None:
         """End the call, since the session is lost."""
         self.inflow.fail(reason)
         self.outflow.fail(reason)
-        self.on_reply(Lost(reason, True), b"")
+        self.on_reply(Lost(reason, was_sent), b"")
 
     def _grant(self, chunks: int) -> None:
         self._session.send(messages.Credit(self.number, chunks))
@@ -165,6 +190,7 @@
         self.node_id = node_id
         self.incarnation = incarnation
         self.last_used_ms = clock.now_ms()
+        self._peer = (node_id, incarnation)
         self._codec = message_codec
         self._drops = drop_log
         self._socket = _socket.MessageSocket(
@@ -180,8 +206,10 @@
         self._streams: dict[int, ClientStream] = {}
         self._next_stream = 1
         self._last_heard_ms = clock.now_ms()
+        # Silence counts from here when nothing was heard since.
+        self._silent_since_ms = self._last_heard_ms
         self._last_ping_ms = 0
-        self._clock_offset_ms = 0.0
+        self._clock_offset_ms = -math.inf
         self._clock_sample_ms = 0
 
     @property
@@ -201,18 +229,28 @@
 
     @property
     def peer_clock_ms(self) -> int:
-        """Lower bound of the other node's clock at this moment."""
+        """Lower bound of the other node's clock at this moment.
+
+        Meaningful once the session is open.
+        """
         now = clock.now_ms()
-        drift = (now - self._clock_sample_ms) * MAX_DRIFT_PER_MS
-        return int(now + self._clock_offset_ms - drift)
+        return math.floor(now + self._faded_offset_ms(now))
 
     async def run(self) -> None:
         """Open the session and keep it until it is lost or closed."""
+        try:
+            # Before the connection is made, so that no event is missed.
+            self._socket.monitor(_CONNECTED_EVENT | _LOST_EVENTS)
+            self._socket.connect(self.address)
+        except zmq.ZMQError as error:
+            # The address comes from another node, and sockets are limited;
+            # neither may end the other sessions.
+            self.close(f"cannot connect: {error}")
+            return
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_connection)
+                tasks.start_soon(self._socket.watch, self._on_connection)
                 tasks.start_soon(self._keep_alive)
-                self._socket.connect(self.address)
                 await self._socket.run()
                 tasks.cancel_scope.cancel()
         finally:
@@ -229,15 +267,17 @@
         now = clock.now_ms()
         stream = ClientStream(self, self._next_stream, now)
         self._next_stream += 1
-        if not self._streams:
-            # Silence counts from here: an idle session is rarely pinged.
-            self._last_heard_ms = max(
+        self.last_used_ms = now
+        if self._state is State.CLOSED:
+            stream.on_lost(self._close_reason, was_sent=False)
+            return stream
+        if not self._is_awaiting:
+            # An idle session is rarely pinged, so its silence until now
+            # says nothing.
+            self._silent_since_ms = max(
                 self._last_heard_ms, now - PING_INTERVAL_MS
             )
         self._streams[stream.number] = stream
-        self.last_used_ms = now
-        if self._state is State.CLOSED:
-            stream.on_lost(self._close_reason)
         return stream
 
     def forget(self, number: int) -> None:
@@ -269,19 +309,28 @@
         self._close_reason = reason
         self._socket.close()
         for stream in list(self._streams.values()):
-            stream.on_lost(reason)
+            stream.on_lost(reason, was_sent=True)
         self._streams.clear()
         self._state_changed.set()
 
+    @property
+    def _is_awaiting(self) -> bool:
+        # Also after the last call was cancelled, until the other node is
+        # heard again. Otherwise short calls, each cancelled at its deadline,
+        # would hide that it is gone.
+        return bool(self._streams) or (
+            self._silent_since_ms > self._last_heard_ms
+        )
+
     async def _keep_alive(self) -> None:
         while self._state is not State.CLOSED:
             self._tick(clock.now_ms())
             await clock.sleep_ms(HELLO_INTERVAL_MS)
 
     def _tick(self, now: int) -> None:
-        silence = now - self._last_heard_ms
+        silence = now - max(self._last_heard_ms, self._silent_since_ms)
         limit = TIMEOUT_MS
-        if self._state is State.OPEN and not self._streams:
+        if self._state is State.OPEN and not self._is_awaiting:
             limit = IDLE_TIMEOUT_MS
         if silence > limit:
             self.close("timeout")
@@ -293,14 +342,17 @@
 
     def _needs_ping(self, now: int, silence: int) -> bool:
         interval = IDLE_PING_INTERVAL_MS
-        if self._streams:
+        if self._is_awaiting:
             interval = PING_INTERVAL_MS
         return min(silence, now - self._last_ping_ms) >= interval
 
-    async def _watch_connection(self) -> None:
-        await self._socket.watch(
-            _LOST_EVENTS, lambda: self.close("connection lost")
-        )
+    def _on_connection(self, event: int) -> None:
+        if event != _CONNECTED_EVENT:
+            self.close("connection lost")
+        elif self._state is State.CONNECTING:
+            # Waiting for the next tick would add up to HELLO_INTERVAL_MS to
+            # the first call.
+            self.send(messages.Hello(self._nonce))
 
     def _on_frames(self, frames: list[bytes]) -> None:
         try:
@@ -309,7 +361,7 @@
             self._drops.drop(self.node_id, error.reason)
             return
         envelope = message.envelope
-        if envelope.incarnation != self.incarnation:
+        if (envelope.sender, envelope.incarnation) != self._peer:
             self.close("other incarnation")
             return
         if not self._is_current(envelope, message.payload):
@@ -330,15 +382,17 @@
     def _note_peer_clock(self, peer_clock_ms: int) -> None:
         # The largest offset seen belongs to the least delayed message. It
         # fades so that clocks with different rates cannot build up an error.
+        # One millisecond less, since both clocks are rounded down: this one
+        # may advance by a millisecond more than the time that has passed.
         now = clock.now_ms()
-        offset = float(peer_clock_ms - now)
-        faded = self._clock_offset_ms - MAX_DRIFT_PER_MS * (
-            now - self._clock_sample_ms
-        )
-        is_first = self._clock_sample_ms == 0
-        self._clock_offset_ms = offset if is_first else max(offset, faded)
+        offset = float(peer_clock_ms - now - 1)
+        self._clock_offset_ms = max(offset, self._faded_offset_ms(now))
         self._clock_sample_ms = now
 
+    def _faded_offset_ms(self, now: int) -> float:
+        elapsed_ms = now - self._clock_sample_ms
+        return self._clock_offset_ms - elapsed_ms * MAX_DRIFT_PER_MS
+
     def _dispatch(self, message: codec.Message) -> None:
         payload = message.payload
         if isinstance(payload, messages.Welcome):
@@ -349,10 +403,10 @@
             self._on_chunk(payload, message.body)
         elif isinstance(payload, messages.Credit):
             self._on_credit(payload)
+        elif isinstance(payload, _REPLIES):
+            self._on_reply(payload, message.body)
         else:
-            stream = self._streams.get(getattr(payload, "stream", 0))
-            if stream is not None:
-                stream.on_reply(payload, message.body)
+            self._drops.drop(self.node_id, "unexpected message")
 
     def _on_welcome(self, welcome: messages.Welcome) -> None:
         if self._state is State.CONNECTING:
@@ -360,6 +414,11 @@
             self._state = State.OPEN
             self._state_changed.set()
 
+    def _on_reply(self, reply: _Reply, body: bytes) -> None:
+        stream = self._streams.get(reply.stream)
+        if stream is not None:
+            stream.on_reply(reply, body)
+
     def _on_chunk(self, chunk: messages.Chunk, body: bytes) -> None:
         stream = self._streams.get(chunk.stream)
         if stream is not None:
--- a/src/clementinekeel/nodes/streams.py
+++ b/src/clementinekeel/nodes/streams.py
@@ -32,11 +32,18 @@
         Sender, for errors.
     grant : Callable
         Called with the number of further chunks the sender may send.
+    credit : int
+        Chunks that the sender may send before the first grant.
     """
 
-    def __init__(self, peer: str, grant: Callable[[int], None]) -> None:
+    def __init__(
+        self, peer: str, grant: Callable[[int], None], credit: int
+    ) -> None:
         self._peer = peer
-        self._grant = grant
+        self._send_grant = grant
+        self._credit = credit
+        self._first = b""
+        self._is_open = False
         self._chunks: collections.deque[bytes] = collections.deque()
         self._changed = anyio.Event()
         self._digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -47,24 +54,34 @@
 
     def open(self, first: bytes, is_last: bool) -> None:
         """Take the part of the body that came with the first message."""
-        if first:
-            self._append(first)
+        self._is_open = True
+        self._first = first
         self._is_complete = is_last
+        if not is_last:
+            # A body in one message is covered by the message's MAC.
+            self._digest.update(first)
+            self._length = len(first)
+        self._notify()
+
+    def grant(self, chunks: int) -> None:
+        """Let the sender send more chunks."""
+        self._credit += chunks
+        self._send_grant(chunks)
 
     def on_chunk(self, chunk: messages.Chunk, body: bytes) -> None:
         """Take the next chunk; a wrong one fails the stream."""
         if self._error is not None or self._is_complete:
             return
-        if chunk.sequence != self._next_sequence:
-            self.fail("chunk out of sequence")
-            return
-        if len(self._chunks) > 2 * WINDOW_CHUNKS:
-            self.fail("sender exceeds its credit")
+        problem = self._problem(chunk, body)
+        if problem:
+            self.fail(problem)
             return
         self._next_sequence += 1
-        self._append(body)
         if chunk.last:
             self._finish(chunk)
+        else:
+            self._credit -= 1
+            self._append(body)
 
     def fail(self, reason: str) -> None:
         """End the body as cut."""
@@ -87,10 +104,13 @@
             is whole only when the iteration ends without an error.
         """
         while True:
-            if self._chunks:
+            if self._first:
+                first, self._first = self._first, b""
+                yield first
+            elif self._chunks:
                 yield self._chunks.popleft()
                 if not self._is_complete:
-                    self._grant(1)
+                    self.grant(1)
             elif self._error is not None:
                 raise self._error
             elif self._is_complete:
@@ -99,11 +119,20 @@
                 self._changed = anyio.Event()
                 await self._changed.wait()
 
+    def _problem(self, chunk: messages.Chunk, body: bytes) -> str:
+        """Tell what is wrong with a chunk; empty if it is in order."""
+        if not self._is_open or chunk.sequence != self._next_sequence:
+            return "chunk out of sequence"
+        if bool(body) == chunk.last:
+            return "chunk without data, or data in the last chunk"
+        if not chunk.last and self._credit < 1:
+            return "sender exceeds its credit"
+        return ""
+
     def _append(self, data: bytes) -> None:
-        if data:
-            self._chunks.append(data)
-            self._digest.update(data)
-            self._length += len(data)
+        self._chunks.append(data)
+        self._digest.update(data)
+        self._length += len(data)
         self._notify()
 
     def _finish(self, chunk: messages.Chunk) -> None:
@@ -160,7 +189,8 @@
 
     def on_credit(self, credit: messages.Credit) -> None:
         """Allow more chunks."""
-        self._credit += max(0, min(credit.chunks, WINDOW_CHUNKS))
+        # A receiver never has more than one window open.
+        self._credit = min(WINDOW_CHUNKS, self._credit + max(0, credit.chunks))
         self._changed.set()
 
     def fail(self, reason: str) -> None:
@@ -217,4 +247,7 @@
         if not is_last:
             self._credit -= 1
         if not self._send(chunk, data):
-            raise BodyError("send body", self._peer, "connection is full")
+            # Later chunks would be out of sequence.
+            self.fail("connection is lost or full")
+        if self._error is not None:
+            raise self._error
--- /dev/null
+++ b/tests/nodes/loopback.py
@@ -0,0 +1,203 @@
+"""Two nodes on loopback whose clock only the test moves."""
+
+import itertools
+import time
+
+import anyio
+import anyio.lowlevel
+import trio.testing
+import zmq
+
+from clementinekeel.nodes import _socket
+from clementinekeel.nodes import codec
+from clementinekeel.nodes import drops
+from clementinekeel.nodes import messages
+from clementinekeel.nodes import pool
+from clementinekeel.nodes import server
+from clementinekeel.nodes import session
+
+KEY = b"k" * 32
+INCARNATION = 9
+LIMIT_S = 10
+"""Bound on the real time of a step, for failures only."""
+STEP_S = 0.25
+CALL = messages.Call(
+    stream=0,
+    key="",
+    successor="",
+    service="s",
+    endpoint="e",
+    method="GET",
+    path="/",
+    headers=(),
+    request_class="c",
+    rank=0,
+    idempotent=True,
+    expires_ms=0,
+    allowance=0,
+    request_id="r",
+    length=0,
+    last=True,
+)
+LOAD = messages.Load(0, 0.0, 0)
+
+
+def _bind(node, address):
+    """Bind; false while zmq still closes an earlier socket there."""
+    try:
+        node.bind(address)
+    except zmq.ZMQError as error:
+        assert error.errno == zmq.EADDRINUSE
+        return False
+    return True
+
+
+def is_fresh(client):
+    """Tell whether the answer to the last ping has arrived."""
+    is_closed = client.state is session.State.CLOSED
+    return is_closed or client._last_heard_ms >= client._last_ping_ms
+
+
+def make_codec(node_id="client", incarnation=1, key=KEY):
+    return codec.Codec(codec.Keyring([key]), node_id, incarnation)
+
+
+def make_answer(stream, body=b"", last=True):
+    length = len(body) if last else -1
+    return messages.Answer(stream, "completed", 200, (), 0, LOAD, length, last)
+
+
+class Handler:
+    """Keeps the streams that the server opens."""
+
+    def __init__(self):
+        self.streams = []
+        self.cancelled = []
+
+    def on_call(self, stream):
+        self.streams.append(stream)
+        stream.on_cancel = lambda reason, is_lost: self.cancelled.append(
+            (stream.number, reason, is_lost)
+        )
+
+    on_inquire = on_call
+    on_configuration_request = on_call
+
+
+class RawPeer:
+    """A zmq socket that sends and takes whatever a test wants."""
+
+    def __init__(self, context, kind, node_codec, on_message=None):
+        self.socket = _socket.MessageSocket(context, kind, self._on_frames)
+        self.codec = node_codec
+        self.received = []
+        self.routing = []
+        self._sequence = itertools.count(1)
+        self._kind = kind
+        self._on_message = on_message or (lambda message: None)
+        self.signer = node_codec
+
+    def frames(self, payload, session=0, sequence=None, body=b"", clock=0):
+        if sequence is None:
+            sequence = next(self._sequence)
+        return self.signer.encode(payload, body, session, sequence, clock)
+
+    def send(self, *arguments, **options):
+        frames = self.frames(*arguments, **options)
+        self.socket.send([*self.routing, *frames])
+
+    def kinds(self):
+        return [message.envelope.kind for message in self.received]
+
+    def _on_frames(self, frames):
+        if self._kind == zmq.ROUTER:
+            self.routing, frames = frames[:1], frames[1:]
+        message = self.codec.decode(frames, "test")
+        self.received.append(message)
+        self._on_message(message)
+
+
+class Net:
+    """Nodes, raw peers and the clock of one test."""
+
+    def __init__(self, context, tasks, clock):
+        self.context = context
+        self._sockets = []
+        self.drops = drops.DropLog()
+        self.tasks = tasks
+        self._clock = clock
+
+    def close(self):
+        for socket in self._sockets:
+            socket.close()
+
+    async def settle(self, condition):
+        """Run the other tasks, with the clock stopped, until it holds."""
+        limit = time.monotonic() + LIMIT_S
+        while not condition():
+            assert time.monotonic() < limit, "condition not met"
+            await anyio.lowlevel.checkpoint()
+
+    async def advance(self, seconds, condition=lambda: True):
+        """Move the clock in steps, waiting for the condition after each."""
+        for _ in range(round(seconds / STEP_S)):
+            self._clock.jump(STEP_S)
+            await trio.testing.wait_all_tasks_blocked()
+            await self.settle(condition)
+
+    async def serve(self, incarnation=INCARNATION, address="127.0.0.1:0"):
+        handler = Handler()
+        node_codec = make_codec("server", incarnation)
+        node = server.Server(self.context, node_codec, handler, self.drops)
+        await self.settle(lambda: _bind(node, address))
+        scope = anyio.CancelScope()
+
+        async def run():
+            with scope:
+                await node.run()
+
+        self.tasks.start_soon(run)
+        node.stop = scope.cancel
+        return node, handler
+
+    def open(self, address, incarnation=INCARNATION):
+        found = session.Session(
+            self.context,
+            make_codec(),
+            address,
+            "server",
+            incarnation,
+            self.drops,
+        )
+        self.tasks.start_soon(found.run)
+        return found
+
+    async def connect(self, address):
+        found = self.open(address)
+        await self.settle(lambda: found.state is session.State.OPEN)
+        return found
+
+    async def pair(self):
+        node, handler = await self.serve()
+        return node, handler, await self.connect(node.endpoint)
+
+    async def call(self, client, handler, **fields):
+        """Send a call and wait until the server has it."""
+        count = len(handler.streams)
+        stream = client.start()
+        client.send(CALL._replace(stream=stream.number, **fields))
+        await self.settle(lambda: len(handler.streams) > count)
+        return stream, handler.streams[-1]
+
+    def pool(self, idle_ms=2_000):
+        found = pool.SessionPool(
+            self.context, make_codec(), self.drops, idle_ms
+        )
+        self.tasks.start_soon(found.run)
+        return found
+
+    def raw(self, kind, node_codec, on_message=None):
+        peer = RawPeer(self.context, kind, node_codec, on_message)
+        self._sockets.append(peer.socket)
+        self.tasks.start_soon(peer.socket.run)
+        return peer
--- /dev/null
+++ b/tests/nodes/test_sessions.py
@@ -0,0 +1,626 @@
+"""Faults between two nodes: which calls end, how, and when."""
+
+import anyio
+import hypothesis
+from hypothesis import strategies
+import pytest
+import trio.testing
+import zmq
+
+from clementinekeel.nodes import codec
+from clementinekeel.nodes import messages
+from clementinekeel.nodes import server
+from clementinekeel.nodes import session
+from clementinekeel.nodes import streams
+from clementinekeel.runtime import clock
+from tests.nodes import loopback
+
+State = session.State
+CALL = loopback.CALL
+
+
+def raw_server(net, key=loopback.KEY, is_answering=True):
+    """Listen with a server that opens sessions and answers nothing else."""
+
+    def on_message(message):
+        payload = message.payload
+        is_first = len(peer.received) == 1
+        if is_answering and is_first and isinstance(payload, messages.Hello):
+            welcome = messages.Welcome(payload.nonce, 5)
+            peer.send(welcome, clock=clock.now_ms())
+
+    incarnation = loopback.INCARNATION
+    node_codec = loopback.make_codec("server", incarnation)
+    peer = net.raw(zmq.ROUTER, node_codec, on_message)
+    peer.signer = loopback.make_codec("server", incarnation, key)
+    peer.socket.bind("127.0.0.1:0")
+    return peer
+
+
+async def raw_client(net, node, number=1):
+    """Open a session by hand; returns the peer and the session number."""
+    peer = net.raw(zmq.DEALER, loopback.make_codec("client", number))
+    peer.socket.connect(node.endpoint)
+    hello = peer.frames(messages.Hello(77))
+    await net.settle(lambda: peer.socket.send(hello))
+    await net.settle(lambda: peer.received)
+    return peer, peer.received[0].payload.session
+
+
+async def ping(net, peer, number):
+    """Wait until the server has handled all messages of the peer so far."""
+    count = len(peer.received)
+    peer.send(messages.Ping(), session=number)
+    await net.settle(lambda: len(peer.received) > count)
+
+
+def test_call_and_answer_arrive_without_the_clock_moving(run_net):
+    """Opening a session must not wait for a timer, as each first call does."""
+
+    async def run(net):
+        _, handler, client = await net.pair()
+        stream, taken = await net.call(client, handler, request_id="q")
+        assert taken.request.request_id == "q"
+        taken.reply(loopback.make_answer(taken.number, b"hi"), b"hi")
+        taken.close()
+        reply = await stream.reply()
+        assert (reply.message.status, reply.body) == (200, b"hi")
+        assert [part async for part in stream.inflow.chunks()] == [b"hi"]
+        stream.close()
+        assert client.in_flight == 0
+
+    run_net(run)
+
+
+@pytest.mark.parametrize(
+    "options",
+    [
+        pytest.param({"is_answering": False}, id="never answers"),
+        pytest.param({"key": b"x" * 32}, id="wrong key"),
+    ],
+)
+def test_session_that_is_never_opened_ends_after_2_s(run_net, options):
+    async def run(net):
+        peer = raw_server(net, **options)
+        client = net.open(peer.socket.endpoint)
+        await net.settle(lambda: peer.received)
+        await net.advance(2)
+        assert client.state is State.CONNECTING
+        await net.advance(0.25)
+        assert client.close_reason == "timeout"
+        assert not await client.wait_open()
+
+    run_net(run)
+
+
+def test_other_incarnation_at_the_address_closes_the_session(run_net):
+    """Keys and clocks of the old process mean nothing to the new one."""
+
+    async def run(net):
+        node, _ = await net.serve(incarnation=10)
+        client = net.open(node.endpoint, incarnation=9)
+        await net.settle(lambda: client.state is State.CLOSED)
+        assert client.close_reason == "other incarnation"
+
+    run_net(run)
+
+
+def test_refused_connection_is_noticed_at_once(run_net):
+    async def run(net):
+        node, _ = await net.serve()
+        address = node.endpoint
+        node.stop()
+        await net.settle(lambda: node._socket._is_closed)
+        client = net.open(address)
+        await net.settle(lambda: client.state is State.CLOSED)
+        stream = client.start()
+        reply = await stream.reply()
+        assert reply.message == session.Lost("connection lost", False)
+        assert client.in_flight == 0
+
+    run_net(run)
+
+
+@pytest.mark.parametrize("address", ["no port", "127.0.0.1:x", "a:b:c"])
+def test_faulty_address_ends_only_its_own_session(run_net, address):
+    """Addresses come from other nodes; the task of all sessions stays."""
+
+    async def run(net):
+        node, _ = await net.serve()
+        pool = net.pool()
+        await net.settle(lambda: pool._tasks is not None)
+        client = pool.get(address, "bad", 1)
+        assert not await client.wait_open()
+        assert client.close_reason.startswith("cannot connect")
+        good = pool.get(node.endpoint, "server", loopback.INCARNATION)
+        assert await good.wait_open()
+        assert pool.count == 1
+
+    run_net(run)
+
+
+def test_process_replaced_ends_calls_at_once(run_net):
+    """Calls in flight must not wait for the 2 s of silence."""
+
+    async def run(net):
+        node, handler, client = await net.pair()
+        stream, _ = await net.call(client, handler)
+        address = node.endpoint
+        node.stop()
+        reply = await stream.reply()
+        assert reply.message == session.Lost("connection lost", True)
+        await net.serve(address=address, incarnation=10)
+        late = client.start()
+        assert not client.send(CALL._replace(stream=late.number))
+        assert (await late.reply()).message.was_sent is False
+
+    run_net(run)
+
+
+def test_messages_queued_at_a_broken_connection_never_arrive(run_net):
+    """R5: a call sent into a dead connection must not run after it heals."""
+
+    async def run(net):
+        node, handler, client = await net.pair()
+        await net.call(client, handler)
+        address = node.endpoint
+        node._socket.close()
+        # Not yet noticed by the client: the state is still open.
+        for _ in range(3):
+            stream = client.start()
+            client.send(CALL._replace(stream=stream.number))
+        again, other = await net.serve(address=address)
+        fresh = net.open(again.endpoint)
+        await net.settle(lambda: fresh.state is State.OPEN)
+        await net.call(fresh, other)
+        await net.settle(lambda: client.state is State.CLOSED)
+        assert [taken.number for taken in other.streams] == [1]
+        assert again.session_count == 1
+
+    run_net(run)
+
+
+def test_silence_with_a_call_in_flight_ends_it_after_2_s(run_net):
+    async def run(net):
+        peer = raw_server(net)
+        client = await net.connect(peer.socket.endpoint)
+        stream = client.start()
+        client.send(CALL._replace(stream=stream.number))
+        await net.advance(2)
+        assert not stream.has_reply
+        await net.settle(lambda: "ping" in peer.kinds())
+        await net.advance(0.25)
+        assert (await stream.reply()).message == session.Lost("timeout", True)
+
+    run_net(run)
+
+
+def test_short_calls_do_not_hide_a_silent_server(run_net):
+    """Each new call must not restart the time of silence."""
+
+    async def run(net):
+        peer = raw_server(net)
+        client = await net.connect(peer.socket.endpoint)
+        for _ in range(3):
+            stream = client.start()
+            client.send(CALL._replace(stream=stream.number))
+            await net.advance(1)
+            stream.cancel("deadline")
+        assert client.state is State.CLOSED
+
+    run_net(run)
+
+
+def test_idle_session_outlives_silence_until_its_limit(run_net):
+    async def run(net):
+        peer = raw_server(net)
+        client = await net.connect(peer.socket.endpoint)
+        await net.advance(12)
+        assert client.state is State.OPEN
+        await net.settle(lambda: peer.kinds().count("ping") == 2)
+        await net.advance(0.25)
+        assert client.close_reason == "timeout"
+
+    run_net(run)
+
+
+def test_call_on_a_long_idle_session_gets_its_full_time(run_net):
+    """Silence while idle must not end a call that was just sent."""
+
+    async def run(net):
+        peer = raw_server(net)
+        client = await net.connect(peer.socket.endpoint)
+        await net.advance(11)
+        stream = client.start()
+        client.send(CALL._replace(stream=stream.number))
+        await net.advance(1.25)
+        assert client.state is State.OPEN
+        peer.send(loopback.make_answer(stream.number), session=5)
+        await net.settle(lambda: stream.has_reply)
+
+    run_net(run)
+
+
+def test_pings_keep_a_session_with_a_slow_call(run_net):
+    async def run(net):
+        _, handler, client = await net.pair()
+        stream, _ = await net.call(client, handler)
+
+        await net.advance(6, lambda: loopback.is_fresh(client))
+        assert not stream.has_reply
+        assert client.state is State.OPEN
+
+    run_net(run)
+
+
+def test_server_ends_calls_of_a_silent_client(run_net):
+    async def run(net):
+        node, handler = await net.serve()
+        peer, number = await raw_client(net, node)
+        peer.send(CALL._replace(stream=1), session=number)
+        await net.settle(lambda: handler.streams)
+        await net.advance(3)
+        assert handler.cancelled == []
+        await net.advance(1)
+        assert handler.cancelled == [(1, "client node is silent", True)]
+        assert node.session_count == 0
+
+    run_net(run)
+
+
+def test_crossed_and_late_answers_reach_only_their_own_call(run_net):
+    """R3: an answer must never reach another call of the session."""
+
+    async def run(net):
+        _, handler, client = await net.pair()
+        first, taken_first = await net.call(client, handler)
+        second, taken_second = await net.call(client, handler)
+        closed, taken_closed = await net.call(client, handler)
+        closed.close()
+        for taken in (taken_closed, taken_second, taken_first):
+            body = b"%d" % taken.number
+            taken.reply(loopback.make_answer(taken.number, body), body)
+        assert (await first.reply()).body == b"1"
+        assert (await second.reply()).body == b"2"
+        assert not closed.has_reply
+        third, taken_third = await net.call(client, handler)
+        taken_closed.reply(loopback.make_answer(3, b"late"), b"late")
+        taken_third.reply(loopback.make_answer(4, b"4"), b"4")
+        assert (await third.reply()).body == b"4"
+        assert not closed.has_reply
+
+    run_net(run)
+
+
+def test_failure_after_the_answer_has_begun_cuts_it(run_net):
+    """The caller would otherwise wait for the rest without end."""
+
+    async def run(net):
+        _, handler, client = await net.pair()
+        stream, taken = await net.call(client, handler)
+        answer = loopback.make_answer(taken.number, b"begin", last=False)
+        taken.reply(answer, b"begin")
+        taken.reply(
+            messages.Failed(
+                taken.number, "unknown", "backend_lost", "", "", 0, answer.load
+            )
+        )
+        with pytest.raises(streams.BodyError, match="backend_lost"):
+            [part async for part in stream.inflow.chunks()]
+
+    run_net(run)
+
+
+def test_cancel_reaches_the_server_and_frees_the_stream(run_net):
+    async def run(net):
+        node, handler, client = await net.pair()
+        stream, taken = await net.call(client, handler, last=False)
+        stream.cancel("caller gone")
+        await net.settle(lambda: handler.cancelled)
+        assert handler.cancelled == [(1, "caller gone", False)]
+        assert client.in_flight == 0
+        [peer_session] = node._sessions.values()
+        assert peer_session.in_flight == 0
+        with pytest.raises(streams.BodyError, match="caller gone"):
+            [part async for part in taken.inflow.chunks()]
+        with pytest.raises(streams.BodyError, match="caller gone"):
+            await taken.outflow.write(b"x")
+
+    run_net(run)
+
+
+def test_closed_call_does_not_end_the_session_at_the_server(run_net):
+    """The server takes a client with calls as gone after 3 s of silence."""
+
+    async def run(net):
+        node, handler, client = await net.pair()
+        stream, _ = await net.call(client, handler)
+        stream.close()
+        await net.advance(8, lambda: loopback.is_fresh(client))
+        assert node.session_count == 1
+        assert client.state is State.OPEN
+
+    run_net(run)
+
+
+def test_long_bodies_pass_both_ways(run_net):
+    body = bytes(range(256)) * 1024 * 9
+    first, rest = body[:1000], body[1000:]
+
+    async def run(net):
+        _, handler, client = await net.pair()
+        stream, taken = await net.call(client, handler, last=False)
+        received = bytearray()
+
+        async def send(outflow):
+            await outflow.write(rest)
+            await outflow.finish()
+
+        async def echo():
+            taken.invite_body()
+            async for part in taken.inflow.chunks():
+                received.extend(part)
+            answer = loopback.make_answer(taken.number, first, last=False)
+            taken.outflow.open(first)
+            taken.reply(answer, first)
+            await send(taken.outflow)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send, stream.outflow)
+            tasks.start_soon(echo)
+            await stream.reply()
+            parts = [part async for part in stream.inflow.chunks()]
+        assert received == rest
+        assert b"".join(parts) == body
+        assert max(map(len, parts)) <= streams.CHUNK_BYTES
+
+    run_net(run)
+
+
+def replay(frames):
+    return lambda peer, number: peer.socket.send(frames(peer, number))
+
+
+def older_session(peer, number):
+    return peer.frames(CALL._replace(stream=9), number - 1)
+
+
+def stale(peer, number):
+    return peer.frames(CALL._replace(stream=9), number, sequence=2)
+
+
+def repeated(peer, number):
+    return peer.frames(CALL._replace(stream=1), number)
+
+
+def other_nonce(peer, number):
+    return peer.frames(messages.Hello(78))
+
+
+def wrong_key(peer, number):
+    other = loopback.make_codec("client", 1, b"x" * 32)
+    return other.encode(CALL._replace(stream=9), b"", number, 99, 0)
+
+
+def other_incarnation(peer, number):
+    other = loopback.make_codec("client", 2)
+    return other.encode(CALL._replace(stream=9), b"", number, 99, 0)
+
+
+def oversized(peer, number):
+    body = bytes(codec.MAX_BODY_BYTES + 1)
+    return peer.frames(CALL._replace(stream=9), number, body=body)
+
+
+def unexpected(peer, number):
+    return peer.frames(loopback.make_answer(9), number)
+
+
+@pytest.mark.parametrize(
+    ("make_frames", "reason"),
+    [
+        pytest.param(older_session, "stale message", id="older session"),
+        pytest.param(stale, "stale message", id="stale sequence"),
+        pytest.param(repeated, "repeated stream number", id="repeated stream"),
+        pytest.param(other_nonce, "second session", id="replayed hello"),
+        pytest.param(wrong_key, "wrong MAC", id="wrong key"),
+        pytest.param(
+            other_incarnation, "stale message", id="other incarnation"
+        ),
+        pytest.param(
+            oversized, "oversized body frame", id="oversized body frame"
+        ),
+        pytest.param(unexpected, "unexpected message", id="unexpected kind"),
+    ],
+)
+def test_server_drops_message_and_keeps_the_session(
+    run_net, make_frames, reason
+):
+    """R5: no such message may start a call or end one in flight."""
+
+    async def run(net):
+        node, handler = await net.serve()
+        peer, number = await raw_client(net, node)
+        peer.send(CALL._replace(stream=1), session=number)
+        await net.settle(lambda: handler.streams)
+        peer.socket.send(make_frames(peer, number))
+        await ping(net, peer, number)
+        assert [taken.number for taken in handler.streams] == [1]
+        assert handler.cancelled == []
+        assert net.drops.counts == {reason: 1}
+        assert node.session_count == 1
+
+    run_net(run)
+
+
+def test_server_closes_a_connection_with_a_huge_frame(run_net):
+    """A peer without the key must not fill the memory of a node."""
+
+    async def run(net):
+        node, handler = await net.serve()
+        peer, number = await raw_client(net, node)
+        peer.socket.monitor(zmq.EVENT_DISCONNECTED)
+        events = []
+        net.tasks.start_soon(peer.socket.watch, events.append)
+        peer.send(CALL._replace(stream=1), session=number, body=bytes(2**24))
+        await net.settle(lambda: events)
+        assert handler.streams == []
+
+    run_net(run)
+
+
+@pytest.mark.parametrize(
+    ("payload", "options", "reason"),
+    [
+        pytest.param(
+            loopback.make_answer(1), {"session": 4}, "stale", id="session"
+        ),
+        pytest.param(
+            loopback.make_answer(1),
+            {"session": 5, "sequence": 1},
+            "stale",
+            id="stale sequence",
+        ),
+        pytest.param(
+            messages.Welcome(1, 6), {}, "stale", id="welcome of another hello"
+        ),
+        pytest.param(
+            CALL._replace(stream=1), {"session": 5}, "unexpected", id="call"
+        ),
+    ],
+)
+def test_client_drops_message(run_net, payload, options, reason):
+    """R3: none of these may be taken for the answer of the call."""
+
+    async def run(net):
+        peer = raw_server(net)
+        client = await net.connect(peer.socket.endpoint)
+        stream = client.start()
+        client.send(CALL._replace(stream=stream.number))
+        await net.settle(lambda: "call" in peer.kinds())
+        peer.send(payload, **options)
+        peer.send(loopback.make_answer(2), session=5, sequence=50)
+        await net.settle(lambda: client._peer_sequence == 50)
+        assert not stream.has_reply
+        assert net.drops.counts == {f"{reason} message": 1}
+
+    run_net(run)
+
+
+def test_burst_that_arrives_during_a_send_is_handled(run_net):
+    """The socket's descriptor announces such messages only once."""
+    count = 300
+
+    async def run(net):
+        node, handler = await net.serve()
+        peer, number = await raw_client(net, node)
+        # The server's own task does not run while the burst arrives.
+        for stream in range(1, count + 1):
+            peer.send(CALL._replace(stream=stream), session=number)
+        poller = zmq.Poller()
+        poller.register(node._socket._socket, zmq.POLLIN)
+        assert poller.poll(loopback.LIMIT_S * 1000)
+        [peer_session] = node._sessions.values()
+        peer_session.send(messages.Pong())
+        await net.settle(lambda: len(handler.streams) == count)
+
+    run_net(run)
+
+
+def test_pool_shares_and_replaces_sessions_and_closes_idle_ones(run_net):
+    async def run(net):
+        node, handler = await net.serve()
+        pool = net.pool(idle_ms=8_000)
+        await net.settle(lambda: pool._tasks is not None)
+
+        def get():
+            return pool.get(node.endpoint, "server", loopback.INCARNATION)
+
+        client = get()
+        assert get() is client
+        assert await client.wait_open()
+        stream, _ = await net.call(client, handler)
+        await net.advance(10, lambda: loopback.is_fresh(client))
+        assert client.state is State.OPEN
+        stream.close()
+        await net.advance(5, lambda: loopback.is_fresh(client))
+        assert get() is client
+        await net.advance(6, lambda: loopback.is_fresh(client))
+        assert client.state is State.OPEN
+        await net.advance(10, lambda: loopback.is_fresh(client))
+        assert client.close_reason == "idle"
+        await net.settle(lambda: pool.count == 0)
+        assert await get().wait_open()
+
+    run_net(run)
+
+
+def test_sessions_leave_no_sockets_behind(run_net):
+    """Each session has two zmq sockets; leaked ones end at the limit."""
+
+    async def run(net):
+        node, _ = await net.serve()
+        net.context.set(zmq.MAX_SOCKETS, 1_023)
+        for _ in range(30):
+            client = await net.connect(node.endpoint)
+            client.close("test")
+            assert client._socket._monitor.closed
+            assert client._socket._socket.closed
+        await net.settle(lambda: len(net.tasks._nursery.child_tasks) <= 2)
+
+    run_net(run)
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(
+    strategies.floats(1.0, 1e7),
+    strategies.floats(1.0, 1e7),
+    strategies.floats(-0.0009, 0.0009),
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(0, 5_000), strategies.floats(0, 2_000)
+        ),
+        min_size=1,
+        max_size=12,
+    ),
+)
+def test_peer_clock_is_never_ahead_of_the_other_nodes_clock(
+    own_start, peer_start, drift, steps
+):
+    """A bound that is ahead would let a request run after its deadline."""
+    own_clock = trio.testing.MockClock(rate=0)
+
+    def peer_clock(own_ms):
+        return int(peer_start + (own_ms - own_start) * (1 + drift))
+
+    async def run():
+        own_clock.jump(own_start / 1000)
+        with zmq.Context() as context:
+            client = session.Session(
+                context, loopback.make_codec(), "", "server", 1, None
+            )
+            for wait_ms, delay_ms in steps:
+                own_clock.jump(wait_ms / 1000)
+                sent = peer_clock(anyio.current_time() * 1000)
+                own_clock.jump(delay_ms / 1000)
+                client._note_peer_clock(sent)
+                for later_ms in (0, 0.999, 137.5):
+                    own_clock.jump(later_ms / 1000)
+                    actual = peer_clock(anyio.current_time() * 1000)
+                    assert client.peer_clock_ms <= actual
+                    assert client.peer_clock_ms >= sent - 1
+            client.close("test")
+
+    anyio.run(run, backend="trio", backend_options={"clock": own_clock})
+
+
+def test_server_limits_sessions(run_net, monkeypatch):
+    monkeypatch.setattr(server, "MAX_SESSIONS", 1)
+
+    async def run(net):
+        node, _, _ = await net.pair()
+        late = net.open(node.endpoint)
+        await net.settle(lambda: net.drops.counts["too many sessions"])
+        assert late.state is State.CONNECTING
+
+    run_net(run)
