--- a/src/clementinekeel/backends/app.py
+++ b/src/clementinekeel/backends/app.py
@@ -76,7 +76,10 @@
         if not is_announcement:
             await self._onward(scope, receive, send)
             return
-        reason = self._take(await _read_body(receive))
+        body = await _read_body(receive)
+        reason = "announcement is too long"
+        if len(body) <= MAX_ANNOUNCEMENT_BYTES:
+            reason = self._take(body)
         status = 400 if reason else 204
         await send(
             {
@@ -100,6 +103,7 @@
 
 
 async def _read_body(receive: caller_app.Receive) -> bytes:
+    """Return the body, or a part that is longer than allowed."""
     body = bytearray()
     while True:
         message = await receive()
--- a/src/clementinekeel/backends/connection.py
+++ b/src/clementinekeel/backends/connection.py
@@ -15,13 +15,17 @@
 from clementinekeel.backends import errors
 from clementinekeel.runtime import clock
 
-READ_BYTES = 64 * 1024
+READ_BYTES = 256 * 1024
+"""What the event loop reads at once, so that no unread rest stays behind in
+its buffer, where ``is_reusable`` cannot see it."""
 MAX_HEAD_BYTES = 64 * 1024
 MAX_IDLE_MS = 4_000
 """Shorter than the keep-alive time of common HTTP servers (5 s)."""
 
 Headers = tuple[tuple[str, str], ...]
 _LATIN1 = "latin-1"
+_BODILESS_STATUSES = frozenset({204, 304})
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
 class Head(NamedTuple):
@@ -49,14 +53,20 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._was_sent = False
+        self._is_head = False
         self._idle_since_ms = clock.now_ms()
         socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._descriptor = socket.fileno()
 
+    @property
+    def is_aged(self) -> bool:
+        """Whether it was idle for so long that the server may close it."""
+        return clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next request can be sent on this connection."""
-        if clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS:
+        if self.is_aged:
             return False
         # An idle connection that is readable was closed by the server. A
         # request written to it would be lost with an unknown outcome.
@@ -68,15 +78,8 @@
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
         """Write the head of a request and the first part of its body."""
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                (name.encode(_LATIN1), value.encode(_LATIN1))
-                for name, value in headers
-            ],
-        )
-        data = self._serialize(request)
+        data = self._serialize_head(method, target, headers)
+        self._is_head = method == "HEAD"
         if body:
             data += self._serialize(h11.Data(data=body))
         await self._write(data)
@@ -92,7 +95,13 @@
             await self._write(data)
 
     async def receive_head(self) -> Head:
-        """Read the head of the answer."""
+        """Read the head of the answer.
+
+        Raises
+        ------
+        errors.BackendError
+            If there is none, or if it does not tell where the body ends.
+        """
         while True:
             event = await self._next_event("receive head")
             if isinstance(event, h11.Response):
@@ -100,7 +109,14 @@
                     (name.decode(_LATIN1), value.decode(_LATIN1))
                     for name, value in event.headers
                 )
-                return Head(event.status_code, headers)
+                head = Head(event.status_code, headers)
+                if not self._is_framed(head):
+                    raise self._error(
+                        "receive head",
+                        "answer has neither a length nor chunks, so that a "
+                        "cut one cannot be told from a whole one",
+                    )
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("receive head", "connection closed")
 
@@ -129,6 +145,10 @@
         )
         if not is_done:
             return False
+        # What follows the answer would be taken for the next one.
+        unread, _ = self._http.trailing_data
+        if unread:
+            return False
         self._http.start_next_cycle()
         self._was_sent = False
         self._idle_since_ms = clock.now_ms()
@@ -139,6 +159,28 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
+    def _is_framed(self, head: Head) -> bool:
+        if self._is_head or head.status in _BODILESS_STATUSES:
+            return True
+        return any(name in _FRAMING_HEADERS for name, _ in head.headers)
+
+    def _serialize_head(
+        self, method: str, target: str, headers: Headers
+    ) -> bytes:
+        try:
+            request = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (name.encode(_LATIN1), value.encode(_LATIN1))
+                    for name, value in headers
+                ],
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError):
+            # The library's message quotes the value, which may be a key.
+            raise self._error("send", "illegal head of a request") from None
+        return self._serialize(request)
+
     def _serialize(self, event: h11.Event) -> bytes:
         try:
             return self._http.send(event) or b""
--- a/src/clementinekeel/backends/errors.py
+++ b/src/clementinekeel/backends/errors.py
@@ -9,7 +9,8 @@
     Parameters
     ----------
     step : str
-        ``connect``, ``send``, ``receive head`` or ``receive body``.
+        ``acquire``, ``connect``, ``send``, ``receive head`` or
+        ``receive body``.
     peer : str
         Address of the backend server.
     reason : str
--- a/src/clementinekeel/backends/pool.py
+++ b/src/clementinekeel/backends/pool.py
@@ -29,6 +29,7 @@
         self._port = port
         self.limit = limit
         self._open = 0
+        self._is_closed = False
         # The connection used last is reused first, so that spare ones age
         # and are closed.
         self._idle: collections.deque[connection.Connection] = (
@@ -59,15 +60,18 @@
                 return candidate
             await self.discard(candidate)
         if self._open >= self.limit:
-            raise self._error("connection limit reached")
+            # Another step than ``connect``: the backend server is there.
+            raise self._error("acquire", "connection limit reached")
         return await self._connect()
 
     async def release(self, used: connection.Connection) -> None:
         """Give a connection back after a request."""
-        if used.finish():
-            self._idle.append(used)
-        else:
+        if self._is_closed or self._open > self.limit or not used.finish():
             await self.discard(used)
+            return
+        self._idle.append(used)
+        while self._idle[0].is_aged:
+            await self.discard(self._idle.popleft())
 
     async def discard(self, used: connection.Connection) -> None:
         """Close a connection."""
@@ -75,7 +79,8 @@
         await used.close()
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and the others when released."""
+        self._is_closed = True
         while self._idle:
             await self.discard(self._idle.pop())
 
@@ -88,16 +93,14 @@
                 stream = await anyio.connect_tcp(self._host, self._port)
         except TimeoutError as error:
             self._open -= 1
-            raise self._error("timeout") from error
+            raise self._error("connect", "timeout") from error
         except OSError as error:
             self._open -= 1
-            raise self._error(str(error)) from error
+            raise self._error("connect", str(error)) from error
         except BaseException:
             self._open -= 1
             raise
         return connection.Connection(stream, self.address)
 
-    def _error(self, reason: str) -> errors.BackendError:
-        return errors.BackendError(
-            "connect", self.address, reason, was_sent=False
-        )
+    def _error(self, step: str, reason: str) -> errors.BackendError:
+        return errors.BackendError(step, self.address, reason, was_sent=False)
