--- a/src/clementinekeel/backends/connection.py
+++ b/src/clementinekeel/backends/connection.py
@@ -17,7 +17,8 @@
 from clementinekeel.runtime import clock
 
 READ_BYTES = 256 * 1024
-"""As much as the event loop reads at once; less would be copied again."""
+"""What the event loop reads at once, so that no unread rest stays behind in
+its buffer, where ``is_reusable`` cannot see it."""
 MAX_HEAD_BYTES = 64 * 1024
 RECEIVE_BUFFER_BYTES = 256 * 1024
 """The event loop reads up to 32 times in a row before it can be paused. The
@@ -27,6 +28,8 @@
 
 Headers = tuple[tuple[str, str], ...]
 _LATIN1 = "latin-1"
+_BODILESS_STATUSES = frozenset({204, 304})
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 
 
 class Head(NamedTuple):
@@ -54,6 +57,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._was_sent = False
+        self._is_head = False
         self._idle_since_ms = clock.now_ms()
         socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._descriptor = socket.fileno()
@@ -63,10 +67,15 @@
             RECEIVE_BUFFER_BYTES,
         )
 
+    @property
+    def is_aged(self) -> bool:
+        """Whether it was idle for so long that the server may close it."""
+        return clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next request can be sent on this connection."""
-        if clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS:
+        if self.is_aged:
             return False
         # An idle connection that is readable was closed by the server. A
         # request written to it would be lost with an unknown outcome.
@@ -78,15 +87,8 @@
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
         """Write the head of a request and the first part of its body."""
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                (name.encode(_LATIN1), value.encode(_LATIN1))
-                for name, value in headers
-            ],
-        )
-        data = self._serialize(request)
+        data = self._serialize_head(method, target, headers)
+        self._is_head = method == "HEAD"
         if body:
             data += self._serialize(h11.Data(data=body))
         await self._write(data)
@@ -102,7 +104,13 @@
             await self._write(data)
 
     async def receive_head(self) -> Head:
-        """Read the head of the answer."""
+        """Read the head of the answer.
+
+        Raises
+        ------
+        errors.BackendError
+            If there is none, or if it does not tell where the body ends.
+        """
         while True:
             event = await self._next_event("receive head")
             if isinstance(event, h11.Response):
@@ -110,7 +118,14 @@
                     (name.decode(_LATIN1), value.decode(_LATIN1))
                     for name, value in event.headers
                 )
-                return Head(event.status_code, headers)
+                head = Head(event.status_code, headers)
+                if not self._is_framed(head):
+                    raise self._error(
+                        "receive head",
+                        "answer has neither a length nor chunks, so that a "
+                        "cut one cannot be told from a whole one",
+                    )
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._error("receive head", "connection closed")
 
@@ -139,6 +154,10 @@
         )
         if not is_done:
             return False
+        # What follows the answer would be taken for the next one.
+        unread, _ = self._http.trailing_data
+        if unread:
+            return False
         self._http.start_next_cycle()
         self._was_sent = False
         self._idle_since_ms = clock.now_ms()
@@ -149,6 +168,28 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
+    def _is_framed(self, head: Head) -> bool:
+        if self._is_head or head.status in _BODILESS_STATUSES:
+            return True
+        return any(name in _FRAMING_HEADERS for name, _ in head.headers)
+
+    def _serialize_head(
+        self, method: str, target: str, headers: Headers
+    ) -> bytes:
+        try:
+            request = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (name.encode(_LATIN1), value.encode(_LATIN1))
+                    for name, value in headers
+                ],
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError):
+            # The library's message quotes the value, which may be a key.
+            raise self._error("send", "illegal head of a request") from None
+        return self._serialize(request)
+
     def _serialize(self, event: h11.Event) -> bytes:
         try:
             return self._http.send(event) or b""
