Make three tests of streams and sessions fail cleanly

Cause: test_closed_call_does_not_end_the_session_at_the_server and test_pool_shares_and_replaces_sessions_and_closes_idle_ones each failed in a run on a busy machine: they moved the clock before the server had handled the cancel, so the server took the client as silent. With credit unchecked, a test of streams waited without end instead of failing. Ruled out: a fault of the session; the cancel was on its way. Change: the tests wait for the cancel; reading a body has a limit on the paused clock. Proof: with the check of credit removed, test_faulty_chunks_fail_the_body [sender over its credit] fails.

--- a/tests/nodes/test_sessions.py
+++ b/tests/nodes/test_sessions.py
@@ -336,6 +336,7 @@
         node, handler, client = await net.pair()
         stream, _ = await net.call(client, handler)
         stream.close()
+        await net.settle(lambda: handler.cancelled)
         await net.advance(8, lambda: loopback.is_fresh(client))
         assert node.session_count == 1
         assert client.state is State.OPEN
@@ -543,6 +544,7 @@
         await net.advance(10, lambda: loopback.is_fresh(client))
         assert client.state is State.OPEN
         stream.close()
+        await net.settle(lambda: handler.cancelled)
         await net.advance(5, lambda: loopback.is_fresh(client))
         assert get() is client
         await net.advance(6, lambda: loopback.is_fresh(client))
--- a/tests/nodes/test_streams.py
+++ b/tests/nodes/test_streams.py
@@ -28,7 +28,8 @@
         self.sent.clear()
 
     async def read(self):
-        return b"".join([part async for part in self.inflow.chunks()])
+        with anyio.fail_after(1):
+            return b"".join([part async for part in self.inflow.chunks()])
 
     def _send(self, chunk, body):
         if not self.is_lost:
