Correct outcomes, retries and slots of owner and entry

A cancellation that arrived in between hit a request whose admission was decided but not applied: KeyError in the node's task group, or a slot never freed. - An idempotent request whose first attempt ran was told "not run" when its retry was refused. A caller that stopped reading, or a replaced backend server that vanished, held a slot for ever. An unexpected error in a request ended the node. - Choices for keys, successors and cancelled callers were never observed; calls under a key were observed without being chosen. The router has claim() for them. - After a short drain, routers that had seen "leaving" never used the endpoint again. Each configuration emptied the retry budgets. A full connection pool was taken as a backend server that is gone. A new controller did not ramp when the configuration came last. A stop that timed out lost the answers of what was running and queued. - A node with port 0 failed to start when another process held the TCP twin of its UDP port.

An owner removed less than 60 s ago is owner_unreachable, not the final owner_lost, because a paused VM comes back.

Ruled out: cancelling non-idempotent work at its deadline, as its outcome would stay unknown.

The change in nodes/session.py (a failure after the head fails the body), in backends/connection.py (faulty requests are errors that sent nothing) and routing/router.py (claim) are for their owners to review.

--- a/src/clementinekeel/backends/connection.py
+++ b/src/clementinekeel/backends/connection.py
@@ -53,6 +53,11 @@
         socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self._descriptor = socket.fileno()
 
+    @property
+    def peer(self) -> str:
+        """Address of the backend server."""
+        return self._peer
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next request can be sent on this connection."""
@@ -68,14 +73,17 @@
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
         """Write the head of a request and the first part of its body."""
-        request = h11.Request(
-            method=method,
-            target=target,
-            headers=[
-                (name.encode(_LATIN1), value.encode(_LATIN1))
-                for name, value in headers
-            ],
-        )
+        try:
+            request = h11.Request(
+                method=method,
+                target=target,
+                headers=[
+                    (name.encode(_LATIN1), value.encode(_LATIN1))
+                    for name, value in headers
+                ],
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            raise self._error("send", str(error)) from error
         data = self._serialize(request)
         if body:
             data += self._serialize(h11.Data(data=body))
--- a/src/clementinekeel/daemon/attempt.py
+++ b/src/clementinekeel/daemon/attempt.py
@@ -188,13 +188,15 @@
             message.load,
         )
     if isinstance(message, messages.Failed):
+        # An answer from a record shows that the endpoint is well.
+        is_recorded = message.step == "record"
         return MayHaveRun(
             message.outcome,
             message.reason,
             message.step,
             message.peer or session.node_id,
             message.allowance_used,
-            routing.Signal.FAILED,
+            routing.Signal.ANSWERED if is_recorded else routing.Signal.FAILED,
             message.load,
         )
     reason = getattr(message, "reason", "unexpected message")
--- a/src/clementinekeel/daemon/backend.py
+++ b/src/clementinekeel/daemon/backend.py
@@ -11,6 +11,7 @@
 SILENCE_LIMIT_MS = 5_000
 """Announcements come once a second; after this silence it is taken as gone.
 """
+CHECK_INTERVAL_MS = SILENCE_LIMIT_MS // 5
 
 
 class BackendState(enum.StrEnum):
@@ -46,6 +47,7 @@
         self._announcement: backend_app.Announcement | None = None
         self._last_heard_ms = 0
         self._pool: pool.ConnectionPool | None = None
+        self._replaced: list[pool.ConnectionPool] = []
 
     @property
     def state(self) -> BackendState:
@@ -83,23 +85,46 @@
             return "this node already serves " + before.endpoint
         is_new = before is None or before.instance != announcement.instance
         if is_new or self._pool is None:
+            if self._pool is not None:
+                self._replaced.append(self._pool)
             self._pool = pool.ConnectionPool(host, int(port), self._limit)
         self._announcement = announcement
         self._last_heard_ms = clock.now_ms()
         self._change(BackendState(announcement.state), is_new)
         return ""
 
-    def on_unreachable(self) -> None:
-        """Take it as gone until it announces itself again."""
-        self._change(BackendState.ABSENT, False)
+    def on_unreachable(self, connections: pool.ConnectionPool) -> None:
+        """Take it as gone until it announces itself again.
+
+        Parameters
+        ----------
+        connections : ConnectionPool
+            Pool that could not connect. That of an earlier instance, or one
+            that has no connection left, says nothing about the present one.
+        """
+        is_full = connections.open_count >= connections.limit
+        if connections is self._pool and not is_full:
+            self._change(BackendState.ABSENT, False)
 
     async def watch(self) -> None:
         """Notice when the announcements end."""
         while True:
-            await clock.sleep_ms(SILENCE_LIMIT_MS / 5)
-            silence = clock.now_ms() - self._last_heard_ms
-            if silence > SILENCE_LIMIT_MS:
+            before_ms = clock.now_ms()
+            await clock.sleep_ms(CHECK_INTERVAL_MS)
+            late_ms = clock.now_ms() - before_ms - CHECK_INTERVAL_MS
+            if late_ms > CHECK_INTERVAL_MS:
+                # This process was paused and could hear nothing.
+                self._last_heard_ms += late_ms
+            silence_ms = clock.now_ms() - self._last_heard_ms
+            if silence_ms > SILENCE_LIMIT_MS:
                 self._change(BackendState.ABSENT, False)
+            await self._close_replaced()
+
+    async def _close_replaced(self) -> None:
+        """Close the connections to earlier instances as they become idle."""
+        for connections in self._replaced:
+            await connections.close()
+        self._replaced = [item for item in self._replaced if item.open_count]
 
     def _change(self, state: BackendState, is_new: bool) -> None:
         before = self._state
--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from clementinekeel.callers import app as caller_app
 from clementinekeel.callers import messages as callers
 from clementinekeel.callers import problems
 from clementinekeel.configuration import model
@@ -25,6 +26,8 @@
 from clementinekeel.routing import messages as routing
 from clementinekeel.routing import router as routers
 from clementinekeel.runtime import clock
+from clementinekeel.runtime import invariants
+from clementinekeel.runtime import log
 from clementinekeel.runtime import trail
 
 Outcome = outcomes.Outcome
@@ -70,11 +73,17 @@
         self.moves = 0
         self.unreachable = 0
         self.exclude: set[tuple[str, int]] = set()
+        self.earlier: attempt.Answered | attempt.MayHaveRun | None = None
+        """Last attempt that ran or may have run, before a further one."""
 
     @property
     def is_idempotent(self) -> bool:
-        """Whether running the request again does no harm."""
-        return self.plan.operation.idempotent
+        """Whether the request is run without a record.
+
+        A caller's key is always kept to, because an inquiry about it would
+        otherwise say that the request did not run.
+        """
+        return self.plan.operation.idempotent and not self.plan.request.key
 
     @property
     def remaining_ms(self) -> int:
@@ -161,7 +170,7 @@
         if isinstance(plan, callers.CallerProblem):
             answer: callers.CallerAnswer | callers.CallerProblem = plan
         else:
-            answer = await self._run_plan(plan)
+            answer = await self._run_guarded(plan)
         self.counts[str(answer.outcome)] += 1
         if isinstance(answer, callers.CallerProblem):
             self.refusals[answer.reason] += 1
@@ -179,6 +188,7 @@
         target = await self._new_target(service, 0, expires_ms, set())
         if isinstance(target, callers.CallerProblem):
             return target
+        self._observe(target.candidate, None, 0)
         return callers.KeyGrant(target.key, self._policies.key_lifetime_ms)
 
     async def inquire(
@@ -186,21 +196,59 @@
     ) -> callers.KeyState | callers.CallerProblem:
         """Return the outcome of a key, following its successors."""
         expires_ms = clock.now_ms() + 2 * attempt.CONNECT_TIMEOUT_MS
+        return await self._inquire_chain(key, expires_ms)
+
+    async def _inquire_chain(
+        self, key: str, expires_ms: int
+    ) -> callers.KeyState | callers.CallerProblem:
         for _ in range(MAX_MOVES):
             found = self._owner_of(key)
             if isinstance(found, callers.CallerProblem):
                 return found
             session = self._session(found.candidate)
             if not await attempt.connect(session, expires_ms):
-                return _owner_unreachable(found)
+                return _owner_unreachable(found.candidate.node_id, key)
             record = await _inquire(session, key, expires_ms)
             if record is None:
-                return _owner_unreachable(found)
+                return _owner_unreachable(found.candidate.node_id, key)
             if not record.moved:
                 return callers.KeyState(record.state, record.reason)
             key = record.moved
         return _too_many_moves(key)
 
+    async def _run_guarded(
+        self, plan: plans.Plan
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        """Run a request; an unexpected error ends this request only."""
+        try:
+            return await self._run_plan(plan)
+        except (
+            caller_app.RequestError,
+            caller_app.CallerGoneError,
+            invariants.InvariantError,
+        ):
+            raise
+        except Exception as error:
+            self.counts["errors"] += 1
+            log.event(
+                "request_error",
+                level="ERROR",
+                step="attempt",
+                peer="backend servers",
+                request_id=plan.request.request_id,
+                error=repr(error),
+            )
+            return callers.CallerProblem(
+                Outcome.UNKNOWN,
+                _STATUS[Outcome.UNKNOWN],
+                "internal_error",
+                "the node met an unexpected error",
+                "attempt",
+                "backend servers",
+                RETRY_MS,
+                plan.request.key,
+            )
+
     async def _run_plan(
         self, plan: plans.Plan
     ) -> callers.CallerAnswer | callers.CallerProblem:
@@ -262,13 +310,26 @@
         while True:
             target = await self._next_target(progress)
             if isinstance(target, callers.CallerProblem):
-                return target
+                return self._with_earlier(progress, target)
             result = await self._attempt(progress, target)
             self._settle_allowance(progress, result)
             _note(progress, target, result)
             answer = await self._conclude(progress, target, result)
             if answer is not None:
-                return answer
+                return self._with_earlier(progress, answer)
+
+    def _with_earlier(
+        self,
+        progress: _Progress,
+        answer: callers.CallerAnswer | callers.CallerProblem,
+    ) -> callers.CallerAnswer | callers.CallerProblem:
+        """Replace "not run" if an earlier attempt may have run."""
+        earlier = progress.earlier
+        if earlier is None or answer.outcome is not Outcome.REFUSED:
+            return answer
+        if isinstance(earlier, attempt.Answered):
+            return _caller_answer(earlier, progress.key)
+        return _final_problem(progress, earlier)
 
     async def _next_target(
         self, progress: _Progress
@@ -298,6 +359,7 @@
             return problems.refusal(
                 400, "bad_key", "the key was issued for another service"
             )
+        self._router.claim(found.candidate)
         return found
 
     async def _with_fresh_key(
@@ -325,7 +387,13 @@
             if isinstance(choice, routing.NoTarget):
                 return _no_target(choice)
             session = self._session(choice)
-            if await attempt.connect(session, expires_ms):
+            is_open: bool | None = None
+            try:
+                is_open = await attempt.connect(session, expires_ms)
+            finally:
+                if is_open is None:
+                    self._observe(choice, None, 0)
+            if is_open:
                 return _Target(choice, self._issue(choice, session))
             self._observe(choice, attempt.unreachable(session), 0)
             tried.add((choice.node_id, choice.incarnation))
@@ -352,6 +420,8 @@
                 "this answer",
             )
         owner = self._directory.owner(parsed)
+        if owner is None and not self._directory.is_lost(parsed):
+            return _owner_unreachable(parsed.node_id, key)
         if owner is None:
             return callers.CallerProblem(
                 Outcome.UNKNOWN,
@@ -367,17 +437,26 @@
 
     async def _attempt(
         self, progress: _Progress, target: _Target
+    ) -> attempt.Result:
+        started_ms = clock.now_ms()
+        result: attempt.Result | None = None
+        try:
+            result = await self._send(progress, target)
+        finally:
+            latency_ms = clock.now_ms() - started_ms
+            self._observe(target.candidate, result, latency_ms)
+        return result
+
+    async def _send(
+        self, progress: _Progress, target: _Target
     ) -> attempt.Result:
         plan = progress.plan
         session = self._session(target.candidate)
         if not await attempt.connect(session, plan.expires_ms):
-            result: attempt.Result = attempt.unreachable(session)
-            self._observe(target.candidate, result, 0)
-            return result
+            return attempt.unreachable(session)
         progress.attempts += 1
         self.counts["attempts"] += 1
         call = self._call_message(progress, target)
-        started_ms = clock.now_ms()
         is_done = False
         try:
             result = await attempt.run(
@@ -387,7 +466,6 @@
         finally:
             if not is_done:
                 plan.allowance.on_lost()
-        self._observe(target.candidate, result, clock.now_ms() - started_ms)
         return result
 
     def _call_message(
@@ -407,6 +485,7 @@
             request_class=plan.request_class,
             rank=plan.rank,
             idempotent=progress.is_idempotent,
+            # Set when the message is sent.
             expires_ms=0,
             allowance=plan.allowance.grant(),
             request_id=request.request_id,
@@ -426,6 +505,8 @@
         choice = self._choose(service, plan.rank, {*progress.exclude, here})
         if isinstance(choice, routing.NoTarget):
             return ""
+        # Whether it is attempted is decided later, as for any key.
+        self._observe(choice, None, 0)
         session = self._session(choice)
         # A key needs the other node's clock, so only nodes that this one
         # already talks to can be successors.
@@ -460,17 +541,35 @@
                 return _skip_unreachable(progress, target, result)
         decision = self._decide(progress, result)
         if isinstance(decision, retries.Stop):
-            return self._give_up(progress, target, result)
+            return await self._give_up(progress, target, result)
+        if not isinstance(result, attempt.NotRun):
+            progress.earlier = result
         await self._prepare_retry(progress, target, result, decision)
         return None
 
-    def _give_up(
+    async def _give_up(
         self, progress: _Progress, target: _Target, result: attempt.Result
     ) -> callers.CallerAnswer | callers.CallerProblem:
         if isinstance(result, attempt.Answered):
             return _caller_answer(result, target.key)
+        if isinstance(result, attempt.NotRun) and result.moved:
+            result = await self._end_chain(result)
         return _final_problem(progress, result)
 
+    async def _end_chain(self, result: attempt.NotRun) -> attempt.NotRun:
+        """Use up a successor key that is not tried.
+
+        Another copy of the request may follow the record to the successor,
+        so "not run" may be told only after its owner has recorded it.
+        """
+        expires_ms = clock.now_ms() + attempt.LATE_ANSWER_MS
+        state = await self._inquire_chain(result.moved, expires_ms)
+        if isinstance(state, callers.CallerProblem):
+            return result
+        if state.state != Outcome.REFUSED:
+            return result
+        return result._replace(moved="")
+
     async def _prepare_retry(
         self,
         progress: _Progress,
@@ -520,14 +619,19 @@
     def _observe(
         self,
         candidate: routing.Candidate,
-        result: attempt.Result,
+        result: attempt.Result | None,
         latency_ms: float,
     ) -> None:
-        if isinstance(result, attempt.Answered):
-            signal = routing.Signal.ANSWERED
-            load: messages.Load | None = result.answer.load
+        """Tell the router how a choice ended; None if nothing was sent."""
+        load: messages.Load | None = None
+        if result is None:
+            signal = routing.Signal.CANCELLED
+        elif isinstance(result, attempt.Answered):
+            signal, load = routing.Signal.ANSWERED, result.answer.load
         else:
             signal, load = result.signal, result.load
+        if signal is routing.Signal.LEAVING:
+            self._directory.on_leaving(candidate)
         load = load or messages.Load(0, 0.0, 0)
         self._router.observe(
             candidate,
@@ -653,7 +757,7 @@
     progress.unreachable += 1
     if progress.plan.request.key or progress.moves:
         # An earlier attempt under this key may have reached the owner.
-        return _owner_unreachable(target)
+        return _owner_unreachable(target.candidate.node_id, target.key)
     if progress.unreachable > MAX_UNREACHABLE:
         return _final_problem(progress, result)
     # No caller has this key and nothing was sent under it.
@@ -677,16 +781,16 @@
     )
 
 
-def _owner_unreachable(target: _Target) -> callers.CallerProblem:
+def _owner_unreachable(node_id: str, key: str) -> callers.CallerProblem:
     return callers.CallerProblem(
         Outcome.UNKNOWN,
         _STATUS[Outcome.UNKNOWN],
         "owner_unreachable",
         "the owner of the key cannot be reached; ask again with the same key",
         "connect",
-        target.candidate.node_id,
+        node_id,
         RETRY_MS,
-        target.key,
+        key,
     )
 
 
--- a/src/clementinekeel/daemon/keeper.py
+++ b/src/clementinekeel/daemon/keeper.py
@@ -161,6 +161,7 @@
     stream = session.start()
     request = messages.ConfigurationRequest(stream.number, known_version)
     data = bytearray()
+    is_done = False
     try:
         if not session.send(request):
             return None
@@ -171,6 +172,7 @@
             data += part
             if len(data) > MAX_SNAPSHOT_BYTES:
                 return None
+        is_done = True
     except streams.BodyError as error:
         log.event(
             "configuration_not_received",
@@ -181,5 +183,8 @@
         )
         return None
     finally:
-        stream.close()
+        if is_done:
+            stream.close()
+        else:
+            stream.cancel("configuration not received")
     return bytes(data)
--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -1,6 +1,7 @@
 """The node: its parts and how they are connected."""
 
 from collections.abc import Callable, Coroutine
+import errno
 import random as random_module
 import secrets
 import socket
@@ -46,6 +47,7 @@
 INCARNATION_BITS = 63
 MAX_SOCKETS = 16_384
 """Sessions use two sockets each; the default of zmq is 1,023."""
+BIND_ATTEMPTS = 10
 LEAVING_NOTICE_MS = 500
 """Time for the gossip to spread that the node leaves, before it ends."""
 
@@ -80,6 +82,7 @@
         self._context: zmq.Context[Any] = zmq.Context()
         self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
         self._admission_endpoint = ""
+        self._budget_share = -1.0
         self._build_owner()
         self._build_membership(gossip_socket)
         self._build_entry()
@@ -99,8 +102,7 @@
             "backend": http_server.bind(settings.backend.listen),
             "operators": http_server.bind(settings.operators.listen),
         }
-        # zmq listens on the TCP port whose UDP twin has the gossip.
-        gossip_socket = await gossip_module.bind(settings.nodes.listen)
+        gossip_socket = await _bind_gossip(settings.nodes.listen)
         return cls(settings, listeners, gossip_socket)
 
     @property
@@ -212,6 +214,7 @@
                 running=self.owner.running,
                 queued=self.owner.queued,
             )
+            self.owner.end_all()
 
     def _build_owner(self) -> None:
         settings = self.settings
@@ -252,7 +255,10 @@
     def _build_membership(self, gossip_socket: anyio.abc.UDPSocket) -> None:
         settings = self.settings
         address = gossip_module.address_of(gossip_socket)
-        self.server.bind(address)
+        try:
+            self.server.bind(address)
+        except zmq.ZMQError as error:
+            raise OSError(error.errno, f"{address}: {error}") from error
         own = member_records.MemberRecord(
             node_id=settings.node.id,
             incarnation=self.incarnation,
@@ -336,13 +342,17 @@
     def _on_view_change(self, effects: membership_messages.Effects) -> None:
         self.directory.on_change()
         for record in effects.removed:
+            self.directory.on_removed(record)
             log.event("member_removed", peer=record.node_id, zone=record.zone)
         for record in effects.joined:
             log.event("member_joined", peer=record.node_id, zone=record.zone)
 
     def _on_configuration(self, configuration: model.Configuration) -> None:
         share = configuration.rules.retry_budget_share
-        self.entry.set_budget(budget.RetryBudget(share))
+        if share != self._budget_share:
+            # Otherwise each change would empty the buckets.
+            self._budget_share = share
+            self.entry.set_budget(budget.RetryBudget(share))
         self.gossip.update_own(configuration_version=configuration.version)
         self.relaying.on_snapshot(self.keeper.snapshot)
         self._follow_endpoint()
@@ -353,6 +363,7 @@
     ) -> None:
         if is_new:
             self._follow_endpoint()
+            self.owner.on_new_instance()
         if self.backend.state is backend.BackendState.READY and (
             is_new or before is backend.BackendState.STARTING
         ):
@@ -377,12 +388,15 @@
                 clock.now_ms(),
             )
         )
+        self.owner.start_ramp()
 
     def _follow_state(self) -> None:
         """Publish whether the endpoint takes new work."""
-        self.owner.set_leaving(self.is_leaving)
+        is_removed = self._admission_endpoint and self.endpoint_spec is None
+        is_leaving = self.is_leaving or bool(is_removed)
+        self.owner.set_leaving(is_leaving)
         state = State.JOINING
-        if self.is_leaving:
+        if is_leaving:
             state = State.LEAVING
         elif self._is_ready():
             state = State.READY
@@ -395,3 +409,20 @@
     def _is_ready(self) -> bool:
         is_backend_ready = self.backend.state is backend.BackendState.READY
         return is_backend_ready and self.endpoint_spec is not None
+
+
+async def _bind_gossip(address: str) -> anyio.abc.UDPSocket:
+    """Open the gossip's socket on a port that is free for zmq as well.
+
+    zmq listens on the TCP port of the same number, which another process may
+    hold when the system has picked the UDP port.
+    """
+    for _ in range(BIND_ATTEMPTS):
+        gossip_socket = await gossip_module.bind(address)
+        try:
+            http_server.bind(gossip_module.address_of(gossip_socket)).close()
+        except OSError:
+            await gossip_socket.aclose()
+        else:
+            return gossip_socket
+    raise OSError(errno.EADDRINUSE, f"{address}: TCP port is in use")
--- a/src/clementinekeel/daemon/owner.py
+++ b/src/clementinekeel/daemon/owner.py
@@ -6,7 +6,7 @@
 import collections
 from collections.abc import Callable, Iterable
 import itertools
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 import anyio.abc
@@ -14,6 +14,7 @@
 from clementinekeel.admission import controller
 from clementinekeel.admission import messages as admission
 from clementinekeel.backends import errors as backend_errors
+from clementinekeel.backends import pool
 from clementinekeel.daemon import backend
 from clementinekeel.daemon import contexts
 from clementinekeel.daemon import serving
@@ -34,6 +35,18 @@
 """Reasons that will hold for a while; after others, another endpoint can be
 tried at once."""
 KEPT_HEADERS_BYTES = 4 * 1024
+RESEND_INTERVAL_MS = 100
+RESENDS = 10
+"""Further attempts at a reply that did not fit into the connection's queue;
+without them the caller would wait for its deadline and be told ``unknown``."""
+REPLACED_GRACE_MS = 10_000
+"""Time for a backend server that was replaced to end what it still runs. A VM
+that vanished closes no connection, so its requests would hold slots for ever.
+"""
+INTERNAL_ERROR = "internal_error"
+_READY_STATES = frozenset(
+    {backend.BackendState.READY, backend.BackendState.DRAINING}
+)
 
 Outcome = outcomes.Outcome
 
@@ -116,6 +129,7 @@
         self._numbers = itertools.count(1)
         self._served: dict[int, Served] = {}
         self._running: set[int] = set()
+        self._cancel_reasons: dict[int, str] = {}
         self._waiters: dict[bytes, list[server.ServerStream]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
         self._became_idle = anyio.Event()
@@ -187,17 +201,31 @@
             self._became_idle = anyio.Event()
             await self._became_idle.wait()
 
+    def end_all(self) -> None:
+        """Refuse what waits and end what runs, since the node ends."""
+        self._is_leaving = True
+        for number, served in list(self._served.items()):
+            if number in self._running:
+                self._cancel_reasons[number] = "stopped"
+                served.scope.cancel()
+            elif number in self._served:
+                self._leave_queue(served, "leaving")
+
+    def on_new_instance(self) -> None:
+        """Bound the time of what still runs at the instance before."""
+        if self._running and self._tasks is not None:
+            self._tasks.start_soon(self._end_replaced, set(self._running))
+
     def on_call(self, stream: server.ServerStream) -> None:
         """Take a call: refuse, answer from the record, queue or run it."""
         call: messages.Call = stream.request
         self.counts["calls"] += 1
         key: outcomes.IssuedKey | None = None
         if not call.idempotent:
-            parsed = self._issuer.parse(call.key, stream.peer).value_or(None)
-            if parsed is None or parsed.endpoint != call.endpoint:
+            key = self._issuer.parse(call.key, stream.peer).value_or(None)
+            if key is None:
                 self._send_refusal(stream, "bad_key", "parse key")
                 return
-            key = parsed
             if not self._begin(stream, key):
                 return
         self._admit(stream, call, key)
@@ -210,7 +238,9 @@
         if key is not None:
             decision = self._records.inquire(key, clock.now_ms())
             state, reason, moved = _describe(decision)
-        stream.reply(messages.Record(stream.number, state, reason, moved))
+        self._reply(
+            stream, messages.Record(stream.number, state, reason, moved)
+        )
         stream.close()
 
     def on_configuration_request(self, stream: server.ServerStream) -> None:
@@ -218,7 +248,10 @@
         request: messages.ConfigurationRequest = stream.request
         version, parts = self._read_configuration(request.version)
         reply = messages.ConfigurationReply(stream.number, version)
-        stream.reply(reply)
+        if not stream.reply(reply):
+            # The other node asks again after its time-out.
+            stream.close()
+            return
         assert self._tasks is not None
         self._tasks.start_soon(_send_parts, stream, parts)
 
@@ -254,7 +287,7 @@
             call.idempotent,
         )
         served = Served(number, stream, call, key, anyio.CancelScope(), report)
-        reason = self._reason_to_refuse(call)
+        reason = self._reason_to_refuse(call, key)
         if reason or self._admission is None:
             self._refuse(served, reason or "no_backend", "accept", 0)
             return
@@ -263,30 +296,47 @@
             number, reason, is_lost
         )
         offer = admission.Offer(number, call.rank, call.expires_ms)
-        self._apply(self._admission.offer(offer, clock.now_ms()))
+        try:
+            decisions = self._admission.offer(offer, clock.now_ms())
+        except Exception as error:
+            self._served.pop(number, None)
+            result = self._on_error(served, "admit", error)
+            self._finish(served, 0, result)
+            stream.close()
+            return
+        self._apply(decisions)
 
-    def _reason_to_refuse(self, call: messages.Call) -> str:
+    def _reason_to_refuse(
+        self, call: messages.Call, key: outcomes.IssuedKey | None
+    ) -> str:
         if self._is_leaving:
             return "leaving"
-        if call.endpoint != self._backend.endpoint:
-            return "wrong_endpoint"
-        if self._backend.connections is None:
+        if self._backend.state not in _READY_STATES:
             return "no_backend"
+        # The sender's view of this node may be older than the key.
+        endpoint = key.endpoint if key is not None else call.endpoint
+        if endpoint != self._backend.endpoint:
+            return "wrong_endpoint"
         if clock.now_ms() >= call.expires_ms:
             return "deadline"
         return ""
 
     def _apply(self, decisions: Iterable[admission.Decision]) -> None:
+        # Sending a reply also handles messages that have arrived, such as a
+        # cancellation of a request decided here. So the state follows all
+        # decisions before the first reply.
+        refused: list[tuple[Served, admission.Refuse]] = []
         for decision in decisions:
             if isinstance(decision, admission.Admit):
                 self._start(self._served[decision.stream])
             elif isinstance(decision, admission.Refuse):
-                served = self._served.pop(decision.stream)
-                self._refuse(
-                    served, decision.reason, "admit", decision.retry_after_ms
-                )
+                refused.append((self._served.pop(decision.stream), decision))
             else:
                 self._became_queued.set()
+        for served, refusal in refused:
+            self._refuse(
+                served, refusal.reason, "admit", refusal.retry_after_ms
+            )
         self._note_idle()
 
     def _start(self, served: Served) -> None:
@@ -307,9 +357,10 @@
             with served.scope:
                 result = await self._exchange(served, context)
             if served.scope.cancelled_caught:
-                result = Result(
-                    Outcome.UNKNOWN, "cancelled", "serve", "caller", None
-                )
+                reason = self._cancel_reasons.get(served.number, "cancelled")
+                result = Result(Outcome.UNKNOWN, reason, "serve", "", None)
+        except Exception as error:
+            result = self._on_error(served, "serve", error)
         finally:
             self._contexts.close(context)
             self._end(served, context, result, clock.now_ms() - started_ms)
@@ -321,22 +372,19 @@
         connections = self._backend.connections
         if connections is None:
             return Result(Outcome.REFUSED, "no_backend", "connect", "", None)
-        call = served.call
-        if not call.last:
-            served.stream.invite_body()
         try:
             with anyio.fail_after(self._time_limit_s(served)):
                 async with serving.exchange(
-                    connections, call, served.stream.inflow, context
+                    connections, served.call, served.stream, context
                 ) as answer:
                     return await self._relay(served, context, answer)
         except backend_errors.BackendError as error:
-            return self._backend_failed(error)
+            return self._backend_failed(connections, error)
         except serving.ExpiredError:
             return Result(Outcome.REFUSED, "deadline", "forward", "", None)
         except streams.BodyError as error:
             return Result(
-                Outcome.UNKNOWN, error.reason, error.step, error.peer, None
+                Outcome.UNKNOWN, "body_cut", error.step, error.peer, None
             )
         except TimeoutError:
             return Result(
@@ -352,9 +400,33 @@
         remaining_ms = served.call.expires_ms - clock.now_ms()
         return max(0.0, remaining_ms / clock.MS_PER_S)
 
-    def _backend_failed(self, error: backend_errors.BackendError) -> Result:
+    def _on_error(self, served: Served, step: str, error: Exception) -> Result:
+        """Return the result of a call that met an unexpected error.
+
+        It ends this call only; the node goes on.
+        """
+        if isinstance(error, invariants.InvariantError):
+            raise error
+        self.counts["errors"] += 1
+        log.event(
+            "call_error",
+            level="ERROR",
+            step=step,
+            peer=served.stream.peer,
+            request_id=served.call.request_id,
+            error=repr(error),
+        )
+        return Result(
+            Outcome.UNKNOWN, INTERNAL_ERROR, step, self._node_id, None
+        )
+
+    def _backend_failed(
+        self,
+        connections: pool.ConnectionPool,
+        error: backend_errors.BackendError,
+    ) -> Result:
         if error.step == "connect":
-            self._backend.on_unreachable()
+            self._backend.on_unreachable(connections)
         outcome = Outcome.UNKNOWN if error.was_sent else Outcome.REFUSED
         reason = "backend_lost" if error.was_sent else "backend_unreachable"
         return Result(outcome, reason, error.step, error.peer, None)
@@ -376,7 +448,7 @@
             kept = outcomes.KeptAnswer(head.status, head.headers, answer.body)
             self._send_answer(served.stream, outcome, kept, context.pool.used)
         else:
-            await self._relay_long(served, context, answer, outcome)
+            await self._relay_long(served, context.pool.used, answer, outcome)
         return Result(outcome, reason, "serve", "", kept)
 
     def _send_answer(
@@ -386,7 +458,8 @@
         answer: outcomes.KeptAnswer,
         allowance_used: int,
     ) -> None:
-        stream.reply(
+        self._reply(
+            stream,
             messages.Answer(
                 stream.number,
                 outcome,
@@ -403,32 +476,55 @@
     async def _relay_long(
         self,
         served: Served,
-        context: contexts.Context,
+        allowance_used: int,
         answer: serving.LongAnswer,
         outcome: Outcome,
     ) -> None:
         stream = served.stream
-        stream.outflow.open(answer.first)
-        stream.reply(
-            messages.Answer(
-                stream.number,
-                outcome,
-                answer.head.status,
-                answer.head.headers,
-                context.pool.used,
-                self.load,
-                answer.length,
-                False,
-            ),
-            answer.first,
+        head = messages.Answer(
+            stream.number,
+            outcome,
+            answer.head.status,
+            answer.head.headers,
+            allowance_used,
+            self.load,
+            answer.length,
+            False,
         )
-        is_wanted = True
+        stream.outflow.open(answer.first)
+        is_wanted = stream.reply(head, answer.first)
+        # The answer is read to its end even if nobody takes it: only then is
+        # the outcome of the request known.
         async for part in answer.rest:
             if is_wanted:
-                is_wanted = await _write(stream, part)
-        # The end is sent only after the backend server's answer was whole.
+                is_wanted = await self._write(served, part)
         if is_wanted:
-            await stream.outflow.finish()
+            is_wanted = await _finish_body(stream)
+        if not is_wanted:
+            self._reply(
+                stream,
+                messages.Failed(
+                    stream.number,
+                    outcome,
+                    "answer_not_kept",
+                    "send answer",
+                    stream.peer,
+                    allowance_used,
+                    self.load,
+                ),
+            )
+
+    async def _write(self, served: Served, part: bytes) -> bool:
+        """Send a part of an answer; False if it is not taken in time."""
+        remaining_ms = max(0, served.call.expires_ms - clock.now_ms())
+        # A caller that stops reading must not hold the slot for ever.
+        with anyio.move_on_after(remaining_ms / clock.MS_PER_S):
+            try:
+                await served.stream.outflow.write(part)
+            except streams.BodyError:
+                return False
+            return True
+        return False
 
     def _end(
         self,
@@ -439,48 +535,64 @@
     ) -> None:
         self._served.pop(served.number, None)
         self._running.discard(served.number)
+        self._cancel_reasons.pop(served.number, None)
         served.report.note(
             result.step, result.peer, result.outcome, result.reason
         )
-        if result.outcome is Outcome.REFUSED:
-            self._refuse(served, result.reason, result.step, 0)
-        else:
-            self._finish(served, context, result)
-        served.stream.close()
+        try:
+            if result.outcome is Outcome.REFUSED:
+                self._refuse(served, result.reason, result.step, 0)
+            else:
+                self._finish(served, context.pool.used, result)
+        finally:
+            served.stream.close()
+            self._release(served, result, service_ms)
+
+    def _release(
+        self, served: Served, result: Result, service_ms: int
+    ) -> None:
+        """Free the slot of a call that has ended."""
+        assert self._admission is not None
         is_ok = result.outcome is Outcome.COMPLETED
-        if self._admission is not None:
-            decisions = self._admission.release(
-                served.number, clock.now_ms(), is_ok, service_ms
-            )
-            self._apply(decisions)
+        decisions = self._admission.release(
+            served.number, clock.now_ms(), is_ok, service_ms
+        )
+        self._apply(decisions)
 
     def _finish(
-        self, served: Served, context: contexts.Context, result: Result
+        self, served: Served, allowance_used: int, result: Result
     ) -> None:
+        """Record how a call ended, and tell all that wait for it."""
         self.counts[str(result.outcome)] += 1
         stream = served.stream
+        if served.key is not None:
+            kept = result.answer
+            if kept is not None and _size(kept.headers) > KEPT_HEADERS_BYTES:
+                kept = None
+            decision = self._records.finish(
+                served.key, result.outcome, result.reason, kept, clock.now_ms()
+            )
+            self._answer_waiters(served.key, decision)
         if result.outcome is Outcome.UNKNOWN:
             stream.outflow.fail(result.reason)
-            stream.reply(
+            self._reply(
+                stream,
                 messages.Failed(
                     stream.number,
                     result.outcome,
                     result.reason,
                     result.step,
                     result.peer,
-                    context.pool.used,
+                    allowance_used,
                     self.load,
-                )
+                ),
             )
-        if served.key is None:
-            return
-        kept = result.answer
-        if kept is not None and _size(kept.headers) > KEPT_HEADERS_BYTES:
-            kept = None
-        decision = self._records.finish(
-            served.key, result.outcome, result.reason, kept, clock.now_ms()
-        )
-        for waiter in self._waiters.pop(served.key.serial, []):
+
+    def _answer_waiters(
+        self, key: outcomes.IssuedKey, decision: outcomes.Decision
+    ) -> None:
+        # Copied, since a cancellation that arrives meanwhile changes it.
+        for waiter in tuple(self._waiters.pop(key.serial, ())):
             self._answer_recorded(waiter, decision)
 
     def _refuse(
@@ -499,8 +611,7 @@
                 holder=True,
             )
             moved = self._moved_by(decision)
-            for waiter in self._waiters.pop(served.key.serial, []):
-                self._answer_recorded(waiter, decision)
+            self._answer_waiters(served.key, decision)
         served.report.note(step, served.stream.peer, "refused", reason)
         self._send_refusal(served.stream, reason, step, retry_after_ms, moved)
 
@@ -526,11 +637,33 @@
         hint = retry_after_ms
         if not hint and reason in _HINTED:
             hint = load.retry_after_ms
-        stream.reply(
-            messages.Refused(stream.number, reason, step, hint, moved, load)
+        self._reply(
+            stream,
+            messages.Refused(stream.number, reason, step, hint, moved, load),
         )
         stream.close()
 
+    def _reply(
+        self, stream: server.ServerStream, message: Any, body: bytes = b""
+    ) -> None:
+        """Send a reply, later if the connection's queue is full."""
+        if stream.reply(message, body):
+            return
+        self.counts["replies_delayed"] += 1
+        assert self._tasks is not None
+        self._tasks.start_soon(self._reply_later, stream, message, body)
+
+    async def _reply_later(
+        self, stream: server.ServerStream, message: Any, body: bytes
+    ) -> None:
+        for _ in range(RESENDS):
+            await clock.sleep_ms(RESEND_INTERVAL_MS)
+            if stream.reply(message, body):
+                return
+        self.counts["replies_lost"] += 1
+        # Usual after a session was lost: its client has told its caller.
+        log.event("reply_lost", level="DEBUG", step="reply", peer=stream.peer)
+
     def _answer_recorded(
         self, stream: server.ServerStream, decision: outcomes.Decision
     ) -> None:
@@ -551,7 +684,8 @@
             stream.close()
         else:
             reason = decision.reason or "answer_not_kept"
-            stream.reply(
+            self._reply(
+                stream,
                 messages.Failed(
                     stream.number,
                     decision.outcome,
@@ -560,7 +694,7 @@
                     self._node_id,
                     0,
                     self.load,
-                )
+                ),
             )
             stream.close()
 
@@ -568,8 +702,8 @@
         """Stop work that nobody waits for.
 
         A non-idempotent call that has started goes on, since its caller may
-        ask for the outcome. One that is queued is refused, unless only the
-        session is lost and its caller may have sent it again.
+        ask for the outcome. One that is queued is refused, unless its caller
+        has sent it again and that copy waits for the outcome.
         """
         served = self._served.get(number)
         if served is None:
@@ -585,12 +719,30 @@
             if served.key is None:
                 served.scope.cancel()
             return
-        del self._served[number]
-        self._refuse(served, "cancelled", "queue", 0)
-        if self._admission is not None:
-            self._apply(self._admission.cancel(number, clock.now_ms()))
+        if not self._is_awaited(served):
+            self._leave_queue(served, "cancelled")
+
+    def _is_awaited(self, served: Served) -> bool:
+        if served.key is None or not served.call.last:
+            return False
+        return bool(self._waiters.get(served.key.serial))
+
+    def _leave_queue(self, served: Served, reason: str) -> None:
+        """Refuse a queued call."""
+        assert self._admission is not None
+        del self._served[served.number]
+        # Before the reply, during which other messages are handled.
+        decisions = self._admission.cancel(served.number, clock.now_ms())
+        self._apply(decisions)
+        self._refuse(served, reason, "queue", 0)
         self._note_idle()
 
+    async def _end_replaced(self, numbers: set[int]) -> None:
+        await clock.sleep_ms(REPLACED_GRACE_MS)
+        for number in numbers & self._running:
+            self._cancel_reasons[number] = "backend_lost"
+            self._served[number].scope.cancel()
+
     def _note_idle(self) -> None:
         if not self._served:
             self._became_idle.set()
@@ -613,10 +765,10 @@
         stream.close()
 
 
-async def _write(stream: server.ServerStream, part: bytes) -> bool:
-    """Send a part of an answer; False if the other node is gone."""
+async def _finish_body(stream: server.ServerStream) -> bool:
+    """Send the end of an answer; False if the other node is gone."""
     try:
-        await stream.outflow.write(part)
+        await stream.outflow.finish()
     except streams.BodyError:
         return False
     return True
--- a/src/clementinekeel/daemon/serving.py
+++ b/src/clementinekeel/daemon/serving.py
@@ -7,14 +7,17 @@
 import anyio
 
 from clementinekeel.backends import connection
+from clementinekeel.backends import errors as backend_errors
 from clementinekeel.backends import pool
 from clementinekeel.callers import headers as caller_headers
 from clementinekeel.daemon import contexts
 from clementinekeel.nodes import messages
+from clementinekeel.nodes import server
 from clementinekeel.nodes import streams
 from clementinekeel.runtime import clock
 
 FIRST_FAILURE_STATUS = 500
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class ExpiredError(Exception):
@@ -51,7 +54,7 @@
 async def exchange(
     connections: pool.ConnectionPool,
     call: messages.Call,
-    inflow: streams.Inflow,
+    stream: server.ServerStream,
     context: contexts.Context,
 ) -> AsyncIterator[WholeAnswer | LongAnswer]:
     """Send a request and receive the head and first part of its answer.
@@ -75,8 +78,12 @@
         # A process that was paused since admission must not forward late.
         if clock.now_ms() >= call.expires_ms:
             raise ExpiredError
-        await _send(used, connections, call, inflow, context)
-        yield await _receive(used)
+        if not call.last:
+            # Only now, so that a body is still whole for another endpoint
+            # when no connection could be opened.
+            stream.invite_body()
+        await _send(used, connections, call, stream.inflow, context)
+        yield await _receive(used, call.method)
         is_kept = True
     finally:
         if is_kept:
@@ -127,8 +134,16 @@
     return tuple(headers)
 
 
-async def _receive(used: connection.Connection) -> WholeAnswer | LongAnswer:
+async def _receive(
+    used: connection.Connection, method: str
+) -> WholeAnswer | LongAnswer:
     head = await used.receive_head()
+    if method != "HEAD" and not _is_delimited(head):
+        # Its end would be the end of the connection, which a crash of the
+        # backend server causes as well.
+        raise backend_errors.BackendError(
+            "receive head", used.peer, "answer without length", was_sent=True
+        )
     parts = used.receive_body()
     first = bytearray()
     async for part in parts:
@@ -151,6 +166,15 @@
         yield part
 
 
+def _is_delimited(head: connection.Head) -> bool:
+    if head.status in BODILESS_STATUSES:
+        return True
+    find = caller_headers.find
+    if find(head.headers, "content-length") is not None:
+        return True
+    return find(head.headers, "transfer-encoding") is not None
+
+
 def _content_length(head: connection.Head) -> int:
     text = caller_headers.find(head.headers, "content-length")
     return int(text) if text is not None else -1
--- a/src/clementinekeel/nodes/session.py
+++ b/src/clementinekeel/nodes/session.py
@@ -111,6 +111,9 @@
     def on_reply(self, message: Any, body: bytes) -> None:
         """Take the first message about the call."""
         if self._replied.is_set():
+            # An answer that has begun can still be cut.
+            if isinstance(message, messages.Failed):
+                self.inflow.fail(message.reason)
             return
         self._reply = Reply(message, body)
         if isinstance(message, messages.Answer):
--- a/src/clementinekeel/routing/router.py
+++ b/src/clementinekeel/routing/router.py
@@ -21,7 +21,8 @@
 class Router:
     """Chooses endpoints by distance, load and health.
 
-    Each choice is followed by exactly one ``observe`` of the candidate.
+    Each choice and each claim is followed by exactly one ``observe`` of the
+    candidate.
 
     Parameters
     ----------
@@ -115,6 +116,16 @@
         chosen.in_flight += 1
         return chosen.candidate
 
+    def claim(self, candidate: messages.Candidate) -> None:
+        """Count an attempt at an endpoint that was not chosen here.
+
+        The owner of an idempotency key is named by the key.
+        """
+        service = self._services.get(candidate.service)
+        state = service.find(candidate) if service else None
+        if state is not None:
+            state.in_flight += 1
+
     def observe(
         self,
         candidate: messages.Candidate,
