--- a/src/clementinekeel/backends/connection.py
+++ b/src/clementinekeel/backends/connection.py
@@ -72,6 +72,11 @@
         """Whether it was idle for so long that the server may close it."""
         return clock.now_ms() - self._idle_since_ms > MAX_IDLE_MS
 
+    @property
+    def peer(self) -> str:
+        """Address of the backend server."""
+        return self._peer
+
     @property
     def is_reusable(self) -> bool:
         """Whether the next request can be sent on this connection."""
--- a/src/clementinekeel/daemon/keeper.py
+++ b/src/clementinekeel/daemon/keeper.py
@@ -174,6 +174,7 @@
     stream = session.start()
     request = messages.ConfigurationRequest(stream.number, known_version)
     data = bytearray()
+    is_done = False
     try:
         if not session.send(request):
             return None
@@ -184,6 +185,7 @@
             data += part
             if len(data) > MAX_SNAPSHOT_BYTES:
                 return None
+        is_done = True
     except streams.BodyError as error:
         log.event(
             "configuration_not_received",
@@ -194,5 +196,8 @@
         )
         return None
     finally:
-        stream.close()
+        if is_done:
+            stream.close()
+        else:
+            stream.cancel("configuration not received")
     return bytes(data)
