Cancel onward calls through their context's scopes

Cause: each onward call ran a task and a task group only to notice the end of the request that caused it, and errors raised in an except* clause came out as groups again, so that the callers' interface did not know their type. Second cause: sessions closed after 2 s without calls, because the setting that was meant as silence is used as time without calls. Change: a context holds the cancel scopes of its onward calls; errors are unwrapped in an ordinary except clause; session_idle_s is 300 s by default and described as what it does.

--- a/src/clementinekeel/callers/app.py
+++ b/src/clementinekeel/callers/app.py
@@ -23,6 +23,7 @@
 from clementinekeel.outcomes.messages import Outcome
 from clementinekeel.runtime import clock
 from clementinekeel.runtime import errors
+from clementinekeel.runtime import groups
 from clementinekeel.runtime import log
 
 SERVICES_PREFIX = "/services/"
@@ -223,7 +224,7 @@
                     await exchange.send_answer(answer)
                 tasks.cancel_scope.cancel()
         except ExceptionGroup as group:
-            raise _first_error(group) from None
+            raise groups.first_error(group) from None
 
     async def _issue_key(self, exchange: "_Exchange", service: str) -> None:
         grant = await self._entry.issue_key(service)
@@ -607,10 +608,3 @@
                     await anext(parts)
             with anyio.CancelScope(shield=True):
                 await parts.aclose()
-
-
-def _first_error(group: BaseExceptionGroup[BaseException]) -> BaseException:
-    error: BaseException = group
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/src/clementinekeel/daemon/attempt.py
+++ b/src/clementinekeel/daemon/attempt.py
@@ -12,6 +12,7 @@
 from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.routing import messages as routing
 from clementinekeel.runtime import clock
+from clementinekeel.runtime import groups
 
 CONNECT_TIMEOUT_MS = 1_000
 LATE_ANSWER_MS = 250
@@ -143,10 +144,10 @@
                 tasks.start_soon(_send_rest, stream, body)
                 reply = await stream.reply()
                 tasks.cancel_scope.cancel()
-        except* Exception as group:
+        except ExceptionGroup as group:
             # The caller went away or sent too much; the interface for
             # callers handles its own error types.
-            raise group.exceptions[0] from None
+            raise groups.first_error(group) from None
     return reply
 
 
--- a/src/clementinekeel/daemon/contexts.py
+++ b/src/clementinekeel/daemon/contexts.py
@@ -24,8 +24,8 @@
         Deadline on this node's clock.
     pool : allowance.AllowancePool
         Extra attempts left to its onward calls.
-    ended : anyio.Event
-        Set when the request has ended; its onward calls are cancelled then.
+    onward : set of anyio.CancelScope
+        Its onward calls; they are cancelled when it ends.
     """
 
     token: str
@@ -33,7 +33,7 @@
     rank: int
     expires_ms: int
     pool: allowance.AllowancePool
-    ended: anyio.Event
+    onward: set[anyio.CancelScope]
 
 
 class Contexts:
@@ -53,7 +53,7 @@
             rank,
             expires_ms,
             allowance.AllowancePool(extra_attempts),
-            anyio.Event(),
+            set(),
         )
         self._contexts[token] = context
         return context
@@ -65,4 +65,5 @@
     def close(self, context: Context) -> None:
         """Remove a request that has ended."""
         self._contexts.pop(context.token, None)
-        context.ended.set()
+        for scope in context.onward:
+            scope.cancel()
--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -286,17 +286,14 @@
             )
         )
         used: int | None = None
+        scope = anyio.CancelScope()
+        plan.context.onward.add(scope)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    _cancel_at_end, plan.context, tasks.cancel_scope
-                )
+            with scope:
                 answer = await self._attempt_all(progress)
                 used = plan.allowance.used
-                tasks.cancel_scope.cancel()
-        except* Exception as group:
-            raise group.exceptions[0] from None
         finally:
+            plan.context.onward.discard(scope)
             _return_draw(plan, used)
         if answer.outcome is not Outcome.COMPLETED:
             # The nodes above must not add their retries to those made here.
@@ -670,13 +667,6 @@
         progress.report.note(result.step, peer, result.outcome, result.reason)
 
 
-async def _cancel_at_end(
-    context: contexts.Context, scope: anyio.CancelScope
-) -> None:
-    await context.ended.wait()
-    scope.cancel()
-
-
 def _return_draw(plan: plans.Plan, used: int | None) -> None:
     assert plan.context is not None
     assert plan.draw is not None
--- a/src/clementinekeel/runtime/settings.py
+++ b/src/clementinekeel/runtime/settings.py
@@ -326,10 +326,11 @@
     ini.Option(
         "limits",
         "session_idle_s",
-        ini.number(0.5, 60),
-        2.0,
+        ini.number(1, 3_600),
+        300.0,
         "s",
-        "Silence after which a session with another node is closed.",
+        "Time without calls after which a session with another node is"
+        " closed.",
     ),
     ini.Option(
         "policies",
