Use the store client's own types in the operators' commands

Cause: the access to the store was written before the store client existed. It imported a module that does not exist, so every command that needs the store failed, and it copied each result into an equal type of its own. Ruled out: keeping the copies for tests; the tests now run the commands against the stand-in of the store, with a clock that jumps over waits. Change: the commands work on platform.changes and platform.client. A conflict names each change accepted since the base version, its author and what it changed. A lost answer ends with 3 and the full command that will tell.

--- a/src/clementinekeel/operators/cli/_changes.py
+++ b/src/clementinekeel/operators/cli/_changes.py
@@ -4,12 +4,12 @@
 from typing import Any, NamedTuple
 
 from clementinekeel.configuration import objects
+from clementinekeel.configuration import snapshot as snapshots
 from clementinekeel.operators import status as node_status
-from clementinekeel.operators import store_access
 from clementinekeel.operators.cli import _command
+from clementinekeel.platform import changes
 
 MAX_LISTED = 20
-HISTORY_LIMIT = 100
 _GONE_STATE = "left"
 
 
@@ -41,52 +41,76 @@
     return Report(version, lines, {"version": version, "difference": ()})
 
 
-async def conflict(
-    store: store_access.Store,
-    base: int,
-    version: int,
+def conflict(
+    error: changes.Conflict,
+    snapshot: snapshots.Snapshot | None,
     proposed: Mapping[str, bytes],
 ) -> _command.CommandError:
-    """Return the report of a conflict: by whom, and what differs."""
-    lines = [f"conflict: based on version {base}, accepted is {version}"]
-    data: dict[str, Any] = {"base_version": base, "version": version}
-    try:
-        entries = await store.history(HISTORY_LIMIT)
-        snapshot = await store.load()
-    except store_access.StoreUnavailableError as error:
-        lines.append(f"who changed it and what is not known: {error}")
+    """Return the report of a conflict: by whom, and what differs.
+
+    Parameters
+    ----------
+    snapshot : Snapshot or None
+        Accepted version, None if it could not be read.
+    proposed : Mapping of str to bytes
+        Objects that were not accepted.
+    """
+    lines = [
+        f"conflict: made from version {error.base_version},"
+        f" accepted is version {error.head_version}"
+    ]
+    for entry in error.winners:
+        lines.append(
+            f"  version {entry.version} by {entry.author}"
+            f" from {entry.origin}: {entry.reason}"
+        )
+        lines += [f"    {line}" for line in entry.difference]
+    data: dict[str, Any] = {
+        "base_version": error.base_version,
+        "version": error.head_version,
+        "accepted": error.winners,
+    }
+    if snapshot is None:
+        lines.append("the accepted version could not be read to compare it")
     else:
-        others = [entry for entry in entries if entry.version > base]
         difference = objects.difference(snapshot.objects, proposed)
-        lines += [
-            f"  version {e.version} by {e.author} from {e.origin}: {e.reason}"
-            for e in others
-        ]
-        lines.append("what your files would change in the accepted version:")
+        lines.append(
+            f"what your files would change in version {snapshot.version}:"
+        )
         lines += [f"  {line}" for line in difference or ("nothing",)]
-        data |= {"accepted": others, "difference": difference}
+        data["difference"] = difference
     code = _command.ExitCode.REFUSED
     return _command.CommandError(code, lines, {"conflict": data})
 
 
-def failure(
-    outcome: store_access.Outcome, change_id: str
+def not_known(
+    change_id: str, reason: str, store_arguments: str
 ) -> _command.CommandError:
-    """Return the report of a change that is not known to be accepted."""
-    if isinstance(outcome, store_access.Undetermined):
-        command = f"clementinekeel change {change_id}"
-        lines = [
-            f"not known yet whether the change was accepted: {outcome.reason}",
-            f"to find out: {command}",
-            f"to repeat it safely: apply --change-id {change_id}",
-        ]
-        data = {"change_id": change_id, "undetermined": outcome.reason}
-        code = _command.ExitCode.UNDETERMINED
-        return _command.CommandError(code, lines, data)
-    if isinstance(outcome, store_access.Conflict):
-        reason = f"version {outcome.version} was accepted instead"
-    else:
-        reason = str(getattr(outcome, "reason", outcome))
+    """Return the report of a change that may have been accepted."""
+    command = f"clementinekeel change {change_id} {store_arguments}"
+    lines = [
+        f"not known yet whether the change was accepted: {reason}",
+        f"to find out: {command}",
+        f"to repeat it safely: the same apply with --change-id {change_id}",
+    ]
+    data = {
+        "change_id": change_id,
+        "undetermined": reason,
+        "command": command,
+    }
+    code = _command.ExitCode.UNDETERMINED
+    return _command.CommandError(code, lines, data)
+
+
+def not_accepted(outcome: changes.NotAccepted) -> _command.CommandError:
+    """Return the report of a change that can no longer be accepted."""
+    version = outcome.head_version
+    reason = f"version {version} was accepted instead"
+    return rejected(outcome.change_id, reason)
+
+
+def rejected(change_id: str, reason: str) -> _command.CommandError:
+    """Return the report of a change that had no effect."""
     lines = [f"change {change_id} was not accepted: {reason}"]
     data = {"change_id": change_id, "rejected": reason}
     return _command.CommandError(_command.ExitCode.REFUSED, lines, data)
--- a/src/clementinekeel/operators/cli/_command.py
+++ b/src/clementinekeel/operators/cli/_command.py
@@ -1,7 +1,8 @@
 """What all commands share: output, exit codes, options and clients."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 import contextlib
+import getpass
 import pathlib
 from typing import Any, ClassVar, NamedTuple
 
@@ -17,6 +18,8 @@
 from clementinekeel.operators import node_client
 from clementinekeel.operators import store_access
 from clementinekeel.operators.cli import exit_codes
+from clementinekeel.platform import client
+from clementinekeel.platform import errors
 from clementinekeel.runtime import ini
 from clementinekeel.runtime import settings
 
@@ -38,6 +41,15 @@
         flag=False,
     ),
 ]
+REASON_OPTION = option(
+    "reason", None, "Reason, for the audit trail.", flag=False
+)
+AUTHOR_OPTION = option(
+    "author",
+    None,
+    "Author, for the audit trail; by default the user's name.",
+    flag=False,
+)
 NODE_OPTION = option(
     "node", None, "ip:port of a node's operators port.", flag=False
 )
@@ -48,18 +60,22 @@
 
 StoreOpener = Callable[
     [Sequence[str]],
-    contextlib.AbstractAsyncContextManager[store_access.Store],
+    contextlib.AbstractAsyncContextManager[client.StoreClient],
 ]
 NodeOpener = Callable[
     [str], contextlib.AbstractAsyncContextManager[node_client.NodeClient]
 ]
 
 
+Runner = Callable[[Callable[[], Awaitable[ExitCode]]], ExitCode]
+
+
 class Clients(NamedTuple):
-    """How commands reach the store and the nodes."""
+    """How commands run, and how they reach the store and the nodes."""
 
     open_store: StoreOpener = store_access.connect
     open_node: NodeOpener = node_client.connect
+    run: Runner = anyio.run
 
 
 class CommandError(Exception):
@@ -104,17 +120,16 @@
     def handle(self) -> int:
         """Run the command and return its exit code."""
         try:
-            return int(anyio.run(self.run_command))
+            return int(self._clients.run(self.run_command))
         except CommandError as error:
             self.emit_error(error)
             return int(error.code)
-        except (
-            node_client.UnreachableError,
-            store_access.StoreUnavailableError,
-        ) as error:
+        except node_client.UnreachableError as error:
             failure = CommandError(ExitCode.UNREACHABLE, [str(error)])
         except node_client.RefusalError as error:
             failure = CommandError(ExitCode.REFUSED, [str(error)])
+        except errors.StoreError as error:
+            failure = CommandError(store_code(error), [str(error)])
         self.emit_error(failure)
         return int(failure.code)
 
@@ -147,7 +162,7 @@
 
     def open_store(
         self,
-    ) -> contextlib.AbstractAsyncContextManager[store_access.Store]:
+    ) -> contextlib.AbstractAsyncContextManager[client.StoreClient]:
         """Open the store that the options name."""
         urls = list(self.option("store"))
         if not urls and self.option("settings"):
@@ -156,6 +171,19 @@
             raise CleoUserError('Give "--store" or "--settings".')
         return self._clients.open_store(urls)
 
+    @property
+    def author(self) -> str:
+        """Who runs the command."""
+        return str(self.option("author") or getpass.getuser())
+
+    @property
+    def store_arguments(self) -> str:
+        """Arguments that name the same store in another command."""
+        arguments = [f"--store {url}" for url in self.option("store")]
+        if not arguments:
+            arguments = [f"--settings {self.option('settings')}"]
+        return " ".join(arguments)
+
     def open_node(
         self,
     ) -> contextlib.AbstractAsyncContextManager[node_client.NodeClient]:
@@ -180,6 +208,14 @@
             target.write(line, new_line=True, type=output.Type.RAW)
 
 
+def store_code(error: errors.StoreError) -> ExitCode:
+    """Return the exit code for an error of a read from the store."""
+    is_limited = isinstance(error, errors.RateLimited)
+    if isinstance(error, errors.Rejected) and not is_limited:
+        return ExitCode.REFUSED
+    return ExitCode.UNREACHABLE
+
+
 def read_input(inventory: str, rules: str) -> reader.Input:
     """Read inventory and rules from files.
 
--- a/src/clementinekeel/operators/cli/apply.py
+++ b/src/clementinekeel/operators/cli/apply.py
@@ -1,17 +1,20 @@
 """``clementinekeel apply``: change the configuration."""
 
-import getpass
 import socket
 import uuid
 
 from cleo.exceptions import CleoUserError
 from cleo.helpers import option
+from returns import result
 
 from clementinekeel.configuration import objects
 from clementinekeel.operators import node_client
 from clementinekeel.operators import store_access
 from clementinekeel.operators.cli import _changes
 from clementinekeel.operators.cli import _command
+from clementinekeel.platform import changes
+from clementinekeel.platform import client
+from clementinekeel.platform import errors
 from clementinekeel.runtime import clock
 
 MAX_VERSION = 2**53
@@ -26,7 +29,7 @@
     description = "Make inventory and rules the next version."
     options = [
         *_command.INPUT_OPTIONS,
-        option("reason", None, "Reason, for the audit trail.", flag=False),
+        _command.REASON_OPTION,
         option(
             "base-version",
             None,
@@ -40,7 +43,7 @@
             "Id of an earlier attempt, to repeat it.",
             flag=False,
         ),
-        option("author", None, "Author, for the audit trail.", flag=False),
+        _command.AUTHOR_OPTION,
         option(
             "wait", None, "Wait until the version is in force at all nodes."
         ),
@@ -82,43 +85,56 @@
 
     async def _apply(
         self,
-        store: store_access.Store,
+        store: client.StoreClient,
         proposed: dict[str, bytes],
         reason: str,
     ) -> _changes.Report:
         change_id = self.option("change-id") or uuid.uuid4().hex
         if self.option("change-id"):
-            outcome = await store.settle(change_id)
-            if isinstance(outcome, store_access.Accepted):
-                return _changes.accepted(outcome.version, change_id, ())
-        snapshot = await store.load()
+            settled = store_access.value_of(
+                await changes.settle(store, change_id)
+            )
+            if isinstance(settled, changes.Accepted):
+                return _changes.accepted(settled.version, change_id, ())
+            if isinstance(settled, changes.NotAccepted):
+                raise _changes.not_accepted(settled)
+        snapshot = await store_access.load(store)
         base = snapshot.version
         if self.option("base-version"):
             base = self.number("base-version", 0, MAX_VERSION)
-        if base != snapshot.version:
-            raise await _changes.conflict(
-                store, base, snapshot.version, proposed
-            )
         difference = objects.difference(snapshot.objects, proposed)
-        if not difference:
+        if base == snapshot.version and not difference:
             return _changes.unchanged(base)
-        proposal = store_access.Proposal(
+        change = changes.Change(
             change_id=change_id,
-            author=self.option("author") or getpass.getuser(),
+            author=self.author,
             origin=socket.gethostname(),
             reason=reason,
             base_version=base,
             objects=proposed,
             difference=difference,
         )
-        outcome = await store.apply(proposal)
-        if isinstance(outcome, store_access.Accepted):
-            return _changes.accepted(outcome.version, change_id, difference)
-        if isinstance(outcome, store_access.Conflict):
-            raise await _changes.conflict(
-                store, base, outcome.version, proposed
+        applied = await changes.apply(store, change)
+        if isinstance(applied, result.Success):
+            version = applied.unwrap().version
+            return _changes.accepted(version, change_id, difference)
+        raise await self._failed(store, change, applied.failure())
+
+    async def _failed(
+        self,
+        store: client.StoreClient,
+        change: changes.Change,
+        error: errors.StoreError,
+    ) -> _command.CommandError:
+        if isinstance(error, changes.Conflict):
+            loaded = await changes.load(store, None)
+            snapshot = loaded.value_or(None)
+            return _changes.conflict(error, snapshot, change.objects)
+        if isinstance(error, errors.Undetermined):
+            return _changes.not_known(
+                change.change_id, str(error), self.store_arguments
             )
-        raise _changes.failure(outcome, change_id)
+        return _changes.rejected(change.change_id, str(error))
 
     async def _wait(
         self, report: _changes.Report, timeout_s: int
--- a/src/clementinekeel/operators/cli/diff.py
+++ b/src/clementinekeel/operators/cli/diff.py
@@ -1,6 +1,7 @@
 """``clementinekeel diff``: what files would change."""
 
 from clementinekeel.configuration import objects
+from clementinekeel.operators import store_access
 from clementinekeel.operators.cli import _command
 
 
@@ -25,7 +26,7 @@
         )
         proposed = objects.split(value.inventory, value.rules)
         async with self.open_store() as store:
-            snapshot = await store.load()
+            snapshot = await store_access.load(store)
         difference = objects.difference(snapshot.objects, proposed)
         lines = [f"accepted version {snapshot.version}"]
         lines += [f"  {line}" for line in difference or ("no difference",)]
--- a/src/clementinekeel/operators/cli/show.py
+++ b/src/clementinekeel/operators/cli/show.py
@@ -22,7 +22,7 @@
     async def run_command(self) -> _command.ExitCode:
         """Show services, zones and rules."""
         async with self.open_store() as store:
-            snapshot = await store.load()
+            snapshot = await store_access.load(store)
         if snapshot == store_access.EMPTY:
             self.emit(["no configuration yet (version 0)"], {"version": 0})
             return _command.ExitCode.DONE
