--- a/src/clementinekeel/callers/app.py
+++ b/src/clementinekeel/callers/app.py
@@ -20,7 +20,7 @@
 from clementinekeel.callers import messages
 from clementinekeel.callers import problems
 from clementinekeel.nodes import streams
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.runtime import clock
 from clementinekeel.runtime import errors
 from clementinekeel.runtime import groups
@@ -101,7 +101,7 @@
         status: int,
         reason: str,
         detail: str,
-        outcome: Outcome = Outcome.REFUSED,
+        outcome: outcomes.Outcome = outcomes.Outcome.REFUSED,
     ) -> None:
         super().__init__("accept", "caller", detail)
         self.status = status
@@ -194,7 +194,7 @@
                     500,
                     "internal_error",
                     "the node has failed to handle the request",
-                    outcome=Outcome.UNKNOWN,
+                    outcome=outcomes.Outcome.UNKNOWN,
                 )
             )
             raise
@@ -523,7 +523,11 @@
     def _body_error(
         self, status: int, reason: str, detail: str
     ) -> RequestError:
-        outcome = Outcome.UNKNOWN if self._is_passed_on else Outcome.REFUSED
+        outcome = (
+            outcomes.Outcome.UNKNOWN
+            if self._is_passed_on
+            else outcomes.Outcome.REFUSED
+        )
         return RequestError(status, reason, detail, outcome)
 
     async def _send_whole(
--- a/src/clementinekeel/callers/messages.py
+++ b/src/clementinekeel/callers/messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from clementinekeel.callers import headers as caller_headers
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 
 Headers = caller_headers.Headers
 
@@ -100,7 +100,7 @@
         ``runtime.errors.StepError`` if the body is cut.
     """
 
-    outcome: Outcome
+    outcome: outcomes.Outcome
     status: int
     headers: Headers
     key: str
@@ -128,7 +128,7 @@
         Idempotency key to ask again with, or empty.
     """
 
-    outcome: Outcome
+    outcome: outcomes.Outcome
     status: int
     reason: str
     detail: str
--- a/src/clementinekeel/callers/problems.py
+++ b/src/clementinekeel/callers/problems.py
@@ -6,17 +6,17 @@
 
 from clementinekeel.callers import headers as caller_headers
 from clementinekeel.callers import messages
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.runtime import clock
 
 CONTENT_TYPE = "application/problem+json"
 TYPE_PREFIX = "urn:clementinekeel:problem:"
 
 _TITLES = {
-    Outcome.REFUSED: "The request did not run",
-    Outcome.FAILED: "The request ran and failed",
-    Outcome.UNKNOWN: "The request may have run",
-    Outcome.COMPLETED: "The request ran, and its answer is not kept",
+    outcomes.Outcome.REFUSED: "The request did not run",
+    outcomes.Outcome.FAILED: "The request ran and failed",
+    outcomes.Outcome.UNKNOWN: "The request may have run",
+    outcomes.Outcome.COMPLETED: "The request ran, and its answer is not kept",
 }
 
 
@@ -64,7 +64,7 @@
     peer: str = "caller",
     retry_after_ms: int = 0,
     key: str = "",
-    outcome: Outcome = Outcome.REFUSED,
+    outcome: outcomes.Outcome = outcomes.Outcome.REFUSED,
 ) -> messages.CallerProblem:
     """Return the problem for a request that did not run.
 
--- a/src/clementinekeel/membership/broadcasts.py
+++ b/src/clementinekeel/membership/broadcasts.py
@@ -4,17 +4,15 @@
 import math
 
 from clementinekeel.membership import _packing
-from clementinekeel.membership.messages import MAX_PAYLOAD_BYTES
-from clementinekeel.membership.messages import MAX_PIGGYBACKED
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.records import MemberRecord
+from clementinekeel.membership import messages as member_messages
+from clementinekeel.membership import records as member_records
 
 MAX_WAITING = 256
 """A longer queue would be stale; anti-entropy carries what is dropped."""
 SENDS_PER_DOUBLING = 2
 """Each change is sent 2 x log2(members) times by each node."""
 
-Change = MemberRecord | Notice
+Change = member_records.MemberRecord | member_messages.Notice
 
 
 class _Waiting:
@@ -47,7 +45,10 @@
 
     def take(
         self, used_bytes: int, used_items: int, members: int
-    ) -> tuple[tuple[MemberRecord, ...], tuple[Notice, ...]]:
+    ) -> tuple[
+        tuple[member_records.MemberRecord, ...],
+        tuple[member_messages.Notice, ...],
+    ]:
         """Return changes for one message and count them as sent.
 
         Parameters
@@ -58,10 +59,10 @@
             Size of the view; more members need more sends.
         """
         limit = SENDS_PER_DOUBLING * math.ceil(math.log2(members + 2))
-        room = MAX_PAYLOAD_BYTES - used_bytes
+        room = member_messages.MAX_PAYLOAD_BYTES - used_bytes
         chosen: list[Change] = []
         candidates = heapq.nsmallest(
-            MAX_PIGGYBACKED - used_items,
+            member_messages.MAX_PIGGYBACKED - used_items,
             self._waiting.items(),
             key=lambda item: item[1].sends,
         )
@@ -74,6 +75,8 @@
             if waiting.sends >= limit:
                 del self._waiting[key]
         return (
-            tuple(c for c in chosen if isinstance(c, MemberRecord)),
-            tuple(c for c in chosen if isinstance(c, Notice)),
+            tuple(
+                c for c in chosen if isinstance(c, member_records.MemberRecord)
+            ),
+            tuple(c for c in chosen if isinstance(c, member_messages.Notice)),
         )
--- a/src/clementinekeel/membership/directory.py
+++ b/src/clementinekeel/membership/directory.py
@@ -7,15 +7,9 @@
 from clementinekeel.membership import _packing
 from clementinekeel.membership import broadcasts
 from clementinekeel.membership import detector as detector_module
+from clementinekeel.membership import messages as member_messages
+from clementinekeel.membership import records as member_records
 from clementinekeel.membership import view as view_module
-from clementinekeel.membership.messages import MAX_PIGGYBACKED
-from clementinekeel.membership.messages import MAX_RECORD_BYTES
-from clementinekeel.membership.messages import no_effects
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.messages import Piggyback
-from clementinekeel.membership.messages import Status
-from clementinekeel.membership.records import MemberRecord
-from clementinekeel.membership.records import MemberState
 from clementinekeel.runtime import invariants
 
 
@@ -30,16 +24,16 @@
 
     def __init__(
         self,
-        own: MemberRecord,
+        own: member_records.MemberRecord,
         random: random_module.Random,
         now_ms: int,
     ) -> None:
-        if _packing.size_of(own) > MAX_RECORD_BYTES:
+        if _packing.size_of(own) > member_messages.MAX_RECORD_BYTES:
             raise ValueError("the own record is too large")
         self._own = own
         self.own_key = own.key
         self.now_ms = now_ms
-        self.effects = no_effects()
+        self.effects = member_messages.no_effects()
         self.view = view_module.View()
         self.detector = detector_module.Detector(random)
         self._broadcasts = broadcasts.Broadcasts()
@@ -48,7 +42,7 @@
         self._broadcasts.add(self.own_key, own)
 
     @property
-    def own(self) -> MemberRecord:
+    def own(self) -> member_records.MemberRecord:
         """The node's own record."""
         return self._own
 
@@ -68,13 +62,13 @@
         """Change the own record and raise its version."""
         changes.setdefault("version", self._own.version + 1)
         own = self._own._replace(**changes)
-        if _packing.size_of(own) > MAX_RECORD_BYTES:
+        if _packing.size_of(own) > member_messages.MAX_RECORD_BYTES:
             raise ValueError("the own record is too large")
         invariants.check(own.version > self._own.version, "own_version_grows")
         self._own = own
         # The own record stays in the view after leaving, so that a digest
         # compares like with like until the process ends.
-        if own.state is not MemberState.LEFT:
+        if own.state is not member_records.MemberState.LEFT:
             self.view.apply(self.own_key, own, self.now_ms)
         self._broadcasts.add(self.own_key, own)
         self.effects.changed.append(own)
@@ -94,19 +88,23 @@
         self.note_configuration(version, self._own.address)
 
     def apply_all(
-        self, records: Iterable[MemberRecord], is_spread: bool = True
+        self,
+        records: Iterable[member_records.MemberRecord],
+        is_spread: bool = True,
     ) -> None:
         """Take records; spread those that are news."""
         for record in records:
             self.apply(record, is_spread)
 
-    def apply(self, record: MemberRecord, is_spread: bool = True) -> None:
+    def apply(
+        self, record: member_records.MemberRecord, is_spread: bool = True
+    ) -> None:
         """Take a record; spread it if it is news."""
         key = record.key
         if key == self.own_key:
             self._on_own_version(record.version)
             return
-        if _packing.size_of(record) > MAX_RECORD_BYTES:
+        if _packing.size_of(record) > member_messages.MAX_RECORD_BYTES:
             return
         applied = self.view.apply(key, record, self.now_ms)
         if applied.change is view_module.Change.NONE:
@@ -123,7 +121,7 @@
             self.effects.changed.append(record)
             self._probe_predecessor(key, record)
 
-    def apply_notices(self, notices: Iterable[Notice]) -> None:
+    def apply_notices(self, notices: Iterable[member_messages.Notice]) -> None:
         """Take suspicions and removals."""
         for notice in notices:
             self._apply_notice(notice)
@@ -139,10 +137,15 @@
             known = self.detector.suspicions[key]
             self._broadcasts.add(
                 key,
-                Notice(key, known.version, Status.SUSPECT, known.witnesses),
+                member_messages.Notice(
+                    key,
+                    known.version,
+                    member_messages.Status.SUSPECT,
+                    known.witnesses,
+                ),
             )
 
-    def remove(self, notice: Notice) -> None:
+    def remove(self, notice: member_messages.Notice) -> None:
         """Remove a member and spread the notice."""
         record = self.view.get(notice.key)
         if record is not None and record.zone == self._own.zone:
@@ -157,26 +160,37 @@
             self._broadcasts.add(notice.key, notice)
             self._report_removed(applied.record)
 
-    def is_removable(self, notice: Notice, record: MemberRecord) -> bool:
+    def is_removable(
+        self,
+        notice: member_messages.Notice,
+        record: member_records.MemberRecord,
+    ) -> bool:
         """Tell whether the evidence is enough to remove a member."""
         return (
-            notice.status is not Status.GONE
+            notice.status is not member_messages.Status.GONE
             or len(notice.witnesses) >= detector_module.MAX_WITNESSES
             or not self.is_last_endpoint(notice.key, record)
         )
 
-    def is_last_endpoint(self, key: int, record: MemberRecord) -> bool:
+    def is_last_endpoint(
+        self, key: int, record: member_records.MemberRecord
+    ) -> bool:
         """Tell whether a service has no other endpoint without suspicion."""
-        if not record.service or record.state is not MemberState.READY:
+        if (
+            not record.service
+            or record.state is not member_records.MemberState.READY
+        ):
             return False
         return not any(
-            other.state is MemberState.READY
+            other.state is member_records.MemberState.READY
             and other_key != key
             and other_key not in self.detector.suspicions
             for other_key, other in self.view.service_members(record.service)
         )
 
-    def notice_about(self, key: int, version: int) -> tuple[Notice, ...]:
+    def notice_about(
+        self, key: int, version: int
+    ) -> tuple[member_messages.Notice, ...]:
         """Return what a member should know so that it can refute it."""
         removed = self.view.removals.find(key, version)
         if removed is not None:
@@ -185,14 +199,17 @@
         if suspicion is None or suspicion.version < version:
             return ()
         return (
-            Notice(
-                key, suspicion.version, Status.SUSPECT, suspicion.witnesses
+            member_messages.Notice(
+                key,
+                suspicion.version,
+                member_messages.Status.SUSPECT,
+                suspicion.witnesses,
             ),
         )
 
     def piggyback(
-        self, used_bytes: int, notices: tuple[Notice, ...] = ()
-    ) -> Piggyback:
+        self, used_bytes: int, notices: tuple[member_messages.Notice, ...] = ()
+    ) -> member_messages.Piggyback:
         """Return the changes that go with a message.
 
         Parameters
@@ -207,33 +224,37 @@
         records, others = self._broadcasts.take(
             used_bytes, len(notices), len(self.view)
         )
-        return Piggyback(records, notices + others, version, address)
+        return member_messages.Piggyback(
+            records, notices + others, version, address
+        )
 
-    def apply_piggyback(self, piggyback: Piggyback) -> None:
+    def apply_piggyback(self, piggyback: member_messages.Piggyback) -> None:
         """Take the changes that came with a message."""
         self.note_configuration(
             piggyback.configuration_version, piggyback.configuration_address
         )
-        self.apply_all(piggyback.records[:MAX_PIGGYBACKED])
-        self.apply_notices(piggyback.notices[:MAX_PIGGYBACKED])
+        self.apply_all(piggyback.records[: member_messages.MAX_PIGGYBACKED])
+        self.apply_notices(
+            piggyback.notices[: member_messages.MAX_PIGGYBACKED]
+        )
 
     def _on_own_version(self, version: int) -> None:
         if version > self._own.version:
             self.publish(version=version + 1)
 
-    def _apply_notice(self, notice: Notice) -> None:
+    def _apply_notice(self, notice: member_messages.Notice) -> None:
         if notice.key == self.own_key:
             self._refute(notice)
             return
         record = self.view.get(notice.key)
         if record is None:
-            if notice.status is not Status.SUSPECT:
+            if notice.status is not member_messages.Status.SUSPECT:
                 self.view.remove(notice, self.now_ms)
             return
         if record.version > notice.version:
             return
         is_own_zone = record.zone == self._own.zone
-        if notice.status is Status.SUSPECT:
+        if notice.status is member_messages.Status.SUSPECT:
             if is_own_zone:
                 self.suspect(notice.key, notice.version, notice.witnesses)
         elif is_own_zone and not self.is_removable(notice, record):
@@ -241,13 +262,15 @@
         else:
             self.remove(notice)
 
-    def _refute(self, notice: Notice) -> None:
-        if self._own.state is MemberState.LEFT:
+    def _refute(self, notice: member_messages.Notice) -> None:
+        if self._own.state is member_records.MemberState.LEFT:
             return
         if notice.version >= self._own.version:
             self.publish(version=notice.version + 1)
 
-    def _probe_predecessor(self, key: int, record: MemberRecord) -> None:
+    def _probe_predecessor(
+        self, key: int, record: member_records.MemberRecord
+    ) -> None:
         # A process that was replaced at its address is found by the next
         # probe and not only when its turn comes.
         if not record.service:
@@ -260,6 +283,8 @@
             ):
                 self.detector.probe_soon(other_key)
 
-    def _report_removed(self, record: MemberRecord | None) -> None:
+    def _report_removed(
+        self, record: member_records.MemberRecord | None
+    ) -> None:
         if record is not None:
             self.effects.removed.append(record)
--- a/src/clementinekeel/membership/exchange.py
+++ b/src/clementinekeel/membership/exchange.py
@@ -14,14 +14,9 @@
 
 from clementinekeel.membership import _packing
 from clementinekeel.membership import limits
+from clementinekeel.membership import messages as member_messages
 from clementinekeel.membership import records as records_module
 from clementinekeel.membership import view as view_module
-from clementinekeel.membership.messages import Delta
-from clementinekeel.membership.messages import Digest
-from clementinekeel.membership.messages import MAX_PAYLOAD_BYTES
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.messages import Outgoing
-from clementinekeel.membership.records import MemberRecord
 
 MAX_DIGEST_ZONES = 16
 ZONES_PER_EXCHANGE = 3
@@ -53,18 +48,21 @@
         self._limit = limits.TokenBucket(DELTAS_PER_S, DELTAS_PER_S, now_ms)
 
     def digest(
-        self, sender: MemberRecord, unreachable: tuple[str, ...]
-    ) -> Digest:
+        self, sender: records_module.MemberRecord, unreachable: tuple[str, ...]
+    ) -> member_messages.Digest:
         """Return the first step of an exchange."""
         zones = self._view.zones
         if len(zones) > MAX_DIGEST_ZONES:
             zones = self._random.sample(zones, MAX_DIGEST_ZONES)
         hashes = tuple((zone, self._view.zone_hash(zone)) for zone in zones)
-        return Digest(sender, hashes, unreachable, "", b"")
+        return member_messages.Digest(sender, hashes, unreachable, "", b"")
 
     def on_zones(
-        self, address: str, digest: Digest, sender: MemberRecord
-    ) -> Iterator[Outgoing]:
+        self,
+        address: str,
+        digest: member_messages.Digest,
+        sender: records_module.MemberRecord,
+    ) -> Iterator[member_messages.Outgoing]:
         """Answer the hashes of zones with those of buckets."""
         theirs = dict(digest.zones)
         names = set(theirs)
@@ -79,11 +77,13 @@
             differing = self._random.sample(differing, ZONES_PER_EXCHANGE)
         for zone in differing:
             buckets = _HASHES.pack(*self._view.bucket_hashes(zone))
-            yield Outgoing(address, Digest(sender, (), (), zone, buckets))
+            yield member_messages.Outgoing(
+                address, member_messages.Digest(sender, (), (), zone, buckets)
+            )
 
     def on_buckets(
-        self, address: str, digest: Digest, now_ms: int
-    ) -> Iterator[Outgoing]:
+        self, address: str, digest: member_messages.Digest, now_ms: int
+    ) -> Iterator[member_messages.Outgoing]:
         """Answer the hashes of buckets with versions in differing ranges."""
         if len(digest.buckets) != _HASHES.size:
             return
@@ -99,27 +99,29 @@
         for index in differing:
             if not self._limit.take(now_ms):
                 return
-            yield Outgoing(address, self._versions(digest.zone, index))
+            yield member_messages.Outgoing(
+                address, self._versions(digest.zone, index)
+            )
 
     def on_delta(
-        self, address: str, delta: Delta, now_ms: int
-    ) -> Iterator[Outgoing]:
+        self, address: str, delta: member_messages.Delta, now_ms: int
+    ) -> Iterator[member_messages.Outgoing]:
         """Answer the versions and the wanted keys of a delta."""
         records = [
             record
             for key in delta.wanted[:MAX_WANTED]
             if (record := self._view.get(key)) is not None
         ]
-        notices: list[Notice] = []
+        notices: list[member_messages.Notice] = []
         wanted: list[int] = []
         if delta.high > delta.low:
             self._compare(delta, records, notices, wanted)
         for answer in _split(records, notices, wanted):
             if not self._limit.take(now_ms):
                 return
-            yield Outgoing(address, answer)
+            yield member_messages.Outgoing(address, answer)
 
-    def _versions(self, zone: str, bucket: int) -> Delta:
+    def _versions(self, zone: str, bucket: int) -> member_messages.Delta:
         low = bucket << view_module.BUCKET_SHIFT
         high = (bucket + 1) << view_module.BUCKET_SHIFT
         keys = self._view.range_keys(zone, low, high)
@@ -135,13 +137,13 @@
             for key in keys
             if (record := self._view.get(key)) is not None
         )
-        return Delta(zone, low, high, versions, (), (), ())
+        return member_messages.Delta(zone, low, high, versions, (), (), ())
 
     def _compare(
         self,
-        delta: Delta,
-        records: list[MemberRecord],
-        notices: list[Notice],
+        delta: member_messages.Delta,
+        records: list[records_module.MemberRecord],
+        notices: list[member_messages.Notice],
         wanted: list[int],
     ) -> None:
         if len(delta.versions) % _VERSION.size:
@@ -166,19 +168,19 @@
 
 
 def _split(
-    records: list[MemberRecord],
-    notices: list[Notice],
+    records: list[records_module.MemberRecord],
+    notices: list[member_messages.Notice],
     wanted: list[int],
-) -> Iterator[Delta]:
+) -> Iterator[member_messages.Delta]:
     """Yield deltas that each fit one datagram."""
-    room = MAX_PAYLOAD_BYTES - HEAD_BYTES
+    room = member_messages.MAX_PAYLOAD_BYTES - HEAD_BYTES
     for part in fitting(records, room):
-        yield Delta("", 0, 0, b"", tuple(part), (), ())
+        yield member_messages.Delta("", 0, 0, b"", tuple(part), (), ())
     for some in fitting(notices, room):
-        yield Delta("", 0, 0, b"", (), tuple(some), ())
+        yield member_messages.Delta("", 0, 0, b"", (), tuple(some), ())
     for start in range(0, len(wanted), MAX_WANTED):
         keys = tuple(wanted[start : start + MAX_WANTED])
-        yield Delta("", 0, 0, b"", (), (), keys)
+        yield member_messages.Delta("", 0, 0, b"", (), (), keys)
 
 
 def fitting(items: Iterable[T], room: int) -> Iterator[list[T]]:
--- a/src/clementinekeel/membership/membership.py
+++ b/src/clementinekeel/membership/membership.py
@@ -10,24 +10,10 @@
 from clementinekeel.membership import exchange
 from clementinekeel.membership import joining
 from clementinekeel.membership import limits
+from clementinekeel.membership import messages as member_messages
+from clementinekeel.membership import records as member_records
 from clementinekeel.membership import zones as zones_module
-from clementinekeel.membership.messages import Delta
-from clementinekeel.membership.messages import Digest
-from clementinekeel.membership.messages import Effects
-from clementinekeel.membership.messages import Join
-from clementinekeel.membership.messages import MAX_PAYLOAD_BYTES
-from clementinekeel.membership.messages import Members
-from clementinekeel.membership.messages import no_effects
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.messages import Outgoing
-from clementinekeel.membership.messages import Probe
-from clementinekeel.membership.messages import ProbeAck
-from clementinekeel.membership.messages import ProbeRequest
-from clementinekeel.membership.messages import Status
-from clementinekeel.membership.records import MemberId
-from clementinekeel.membership.records import MemberRecord
-from clementinekeel.membership.records import MemberState
-from clementinekeel.routing.messages import Candidate
+from clementinekeel.routing import messages as routing_messages
 from clementinekeel.runtime import invariants
 
 TICK_INTERVAL_MS = 100
@@ -87,15 +73,15 @@
 
     def __init__(
         self,
-        own: MemberRecord,
+        own: member_records.MemberRecord,
         seeds: Sequence[str],
         random: random_module.Random,
         now_ms: int,
     ) -> None:
         self._random = random
         self._wanted_state = own.state
-        if own.state is MemberState.READY:
-            own = own._replace(state=MemberState.JOINING)
+        if own.state is member_records.MemberState.READY:
+            own = own._replace(state=member_records.MemberState.JOINING)
         self._directory = directory.Directory(own, random, now_ms)
         self._view = self._directory.view
         self._detector = self._directory.detector
@@ -128,22 +114,22 @@
             offset_ms = random.randrange(interval_ms)
             self._due[step.__name__] = now_ms + offset_ms
         self._handlers: dict[type[Any], Any] = {
-            Probe: self.on_probe,
-            ProbeAck: self.on_probe_ack,
-            ProbeRequest: self.on_probe_request,
-            Join: self.on_join,
-            Members: self.on_members,
-            Digest: self.on_digest,
-            Delta: self.on_delta,
+            member_messages.Probe: self.on_probe,
+            member_messages.ProbeAck: self.on_probe_ack,
+            member_messages.ProbeRequest: self.on_probe_request,
+            member_messages.Join: self.on_join,
+            member_messages.Members: self.on_members,
+            member_messages.Digest: self.on_digest,
+            member_messages.Delta: self.on_delta,
         }
 
     @property
-    def own(self) -> MemberRecord:
+    def own(self) -> member_records.MemberRecord:
         """The node's own record."""
         return self._directory.own
 
     @property
-    def members(self) -> list[MemberRecord]:
+    def members(self) -> list[member_records.MemberRecord]:
         """Records of all members, the node itself included."""
         return list(self._view.records())
 
@@ -164,7 +150,7 @@
         return self._zones.unreachable(self.is_relay, self._now_ms)
 
     @property
-    def suspects(self) -> list[MemberRecord]:
+    def suspects(self) -> list[member_records.MemberRecord]:
         """Members that did not answer and have not been removed."""
         found = map(self._view.get, self._detector.suspicions)
         return [record for record in found if record is not None]
@@ -173,18 +159,20 @@
     def _is_isolated(self) -> bool:
         return self._now_ms - self._round_trip_ms >= ISOLATED_MS
 
-    def members_of(self, zone: str) -> list[MemberRecord]:
+    def members_of(self, zone: str) -> list[member_records.MemberRecord]:
         """Return the records of a zone's members."""
         return self._records(self._view.keys(zone))
 
-    def find(self, member_id: MemberId) -> MemberRecord | None:
+    def find(
+        self, member_id: member_records.MemberId
+    ) -> member_records.MemberRecord | None:
         """Return the record of a member."""
         return self._view.get(member_id.key)
 
-    def endpoints(self, service: str) -> list[Candidate]:
+    def endpoints(self, service: str) -> list[routing_messages.Candidate]:
         """Return the endpoints of a service that take new work."""
         return [
-            Candidate(
+            routing_messages.Candidate(
                 record.endpoint,
                 record.service,
                 record.zone,
@@ -194,10 +182,10 @@
                 record.address,
             )
             for _, record in self._view.service_members(service)
-            if record.state is MemberState.READY
+            if record.state is member_records.MemberState.READY
         ]
 
-    def relays(self, zone: str) -> list[MemberRecord]:
+    def relays(self, zone: str) -> list[member_records.MemberRecord]:
         """Return a zone's relays, best first."""
         return self._records(self._view.relays(zone))
 
@@ -209,7 +197,9 @@
         """Add addresses to ask for members, for example from the store."""
         self._joining.add(addresses, self._now_ms)
 
-    def update_own(self, now_ms: int, **changes: Any) -> Effects:
+    def update_own(
+        self, now_ms: int, **changes: Any
+    ) -> member_messages.Effects:
         """Change fields of the own record.
 
         A state of ``READY`` is published once the node is confirmed. A new
@@ -242,11 +232,13 @@
                 self._probe_some(URGENT_PROBES)
         return effects
 
-    def leave(self, now_ms: int) -> Effects:
+    def leave(self, now_ms: int) -> member_messages.Effects:
         """Announce that the node takes no new work."""
-        return self.update_own(now_ms, state=MemberState.LEAVING)
+        return self.update_own(
+            now_ms, state=member_records.MemberState.LEAVING
+        )
 
-    def confirm(self, now_ms: int) -> Effects:
+    def confirm(self, now_ms: int) -> member_messages.Effects:
         """Take note that the store has told the newest configuration.
 
         A node whose entry points are all gone can be ready then, although no
@@ -257,11 +249,11 @@
         self._follow_confirmation()
         return effects
 
-    def tick(self, now_ms: int) -> Effects:
+    def tick(self, now_ms: int) -> member_messages.Effects:
         """Do what is due; to be called every ``TICK_INTERVAL_MS``."""
         effects = self._begin(now_ms)
         self._last_tick_ms = now_ms
-        if self._wanted_state is MemberState.LEFT:
+        if self._wanted_state is member_records.MemberState.LEFT:
             return effects
         self._view.removals.expire(now_ms)
         self._ask_helpers()
@@ -278,25 +270,33 @@
 
     def receive(
         self, sender_address: str, message: Any, now_ms: int
-    ) -> Effects:
+    ) -> member_messages.Effects:
         """Handle a message of another node."""
         effects = self._begin(now_ms)
         handler = self._handlers.get(type(message))
-        if handler is not None and self._wanted_state is not MemberState.LEFT:
+        if (
+            handler is not None
+            and self._wanted_state is not member_records.MemberState.LEFT
+        ):
             self._heard_ms = now_ms
             handler(sender_address, message)
         return effects
 
-    def on_probe(self, address: str, message: Probe) -> None:
+    def on_probe(self, address: str, message: member_messages.Probe) -> None:
         """Answer a probe, with what the prober must know about itself."""
         self._meet(message.sender)
         self._directory.apply_piggyback(message.piggyback)
         sender = message.sender
         notices = self._directory.notice_about(sender.key, sender.version)
         piggyback = self._directory.piggyback(self._own_bytes(), notices)
-        self._send(address, ProbeAck(message.serial, self.own, piggyback))
+        self._send(
+            address,
+            member_messages.ProbeAck(message.serial, self.own, piggyback),
+        )
 
-    def on_probe_ack(self, address: str, message: ProbeAck) -> None:
+    def on_probe_ack(
+        self, address: str, message: member_messages.ProbeAck
+    ) -> None:
         """Take an ack as evidence only if it answers a probe under way."""
         self._meet(message.subject)
         self._directory.apply_piggyback(message.piggyback)
@@ -307,7 +307,9 @@
         key = subject.key
         if pending.requester:
             piggyback = self._directory.piggyback(self._own_bytes())
-            passed_on = ProbeAck(pending.requester_serial, subject, piggyback)
+            passed_on = member_messages.ProbeAck(
+                pending.requester_serial, subject, piggyback
+            )
             self._send(pending.requester, passed_on)
         self._note_round_trip(subject)
         self._detector.clear(key)
@@ -318,13 +320,15 @@
         self._confirmation.answered(key, is_relay, others)
         self._follow_confirmation()
 
-    def on_probe_request(self, address: str, message: ProbeRequest) -> None:
+    def on_probe_request(
+        self, address: str, message: member_messages.ProbeRequest
+    ) -> None:
         """Probe a member for another one."""
         self._meet(message.sender)
         self._directory.apply_piggyback(message.piggyback)
         self._probe(message.target, message.address, True, message, address)
 
-    def on_join(self, address: str, message: Join) -> None:
+    def on_join(self, address: str, message: member_messages.Join) -> None:
         """Answer with some random members and the relays."""
         self._meet(message.sender)
         if not self._join_limit.take(self._now_ms):
@@ -338,11 +342,13 @@
         for relays_zone in {zone, self.own.zone}:
             keys += self._view.relays(relays_zone)
         records = self._records(dict.fromkeys(keys))
-        room_bytes = MAX_PAYLOAD_BYTES - self._own_bytes()
+        room_bytes = member_messages.MAX_PAYLOAD_BYTES - self._own_bytes()
         for part in exchange.fitting(records, room_bytes):
-            self._send(address, Members(self.own, tuple(part)))
+            self._send(address, member_messages.Members(self.own, tuple(part)))
 
-    def on_members(self, address: str, message: Members) -> None:
+    def on_members(
+        self, address: str, message: member_messages.Members
+    ) -> None:
         """Take the answer to a join."""
         self._meet(message.sender)
         self._directory.apply_all(message.records, is_spread=False)
@@ -350,7 +356,7 @@
             self._has_joined = True
             self._due["_digest_zone"] = self._now_ms
 
-    def on_digest(self, address: str, message: Digest) -> None:
+    def on_digest(self, address: str, message: member_messages.Digest) -> None:
         """Answer a digest with the next step if the views differ."""
         self._meet(message.sender)
         is_from_relay = message.sender.key in self._view.relays(self.own.zone)
@@ -366,7 +372,7 @@
                 self._zones.on_report(message.unreachable, self._now_ms)
         self._directory.effects.messages.extend(answers)
 
-    def on_delta(self, address: str, message: Delta) -> None:
+    def on_delta(self, address: str, message: member_messages.Delta) -> None:
         """Take the newer records and answer with ours."""
         # News from another zone reaches this one through its relays.
         self._directory.apply_all(message.records, is_spread=self.is_relay)
@@ -374,8 +380,8 @@
         answers = self._exchange.on_delta(address, message, self._now_ms)
         self._directory.effects.messages.extend(answers)
 
-    def _begin(self, now_ms: int) -> Effects:
-        effects = no_effects()
+    def _begin(self, now_ms: int) -> member_messages.Effects:
+        effects = member_messages.no_effects()
         self._directory.effects = effects
         self._directory.now_ms = now_ms
         self._now_ms = now_ms
@@ -397,13 +403,16 @@
         for name in self._due:
             self._due[name] = max(self._due[name], self._now_ms)
         self._due["_confirm"] = self._now_ms
-        if self.own.state is MemberState.READY:
-            self._publish(state=MemberState.JOINING)
+        if self.own.state is member_records.MemberState.READY:
+            self._publish(state=member_records.MemberState.JOINING)
 
-    def _allowed_state(self) -> MemberState:
+    def _allowed_state(self) -> member_records.MemberState:
         wanted = self._wanted_state
-        if wanted is MemberState.READY and not self.is_confirmed:
-            return MemberState.JOINING
+        if (
+            wanted is member_records.MemberState.READY
+            and not self.is_confirmed
+        ):
+            return member_records.MemberState.JOINING
         return wanted
 
     def _follow_confirmation(self) -> None:
@@ -416,7 +425,8 @@
         self._published_ms = self._now_ms
         self._directory.publish(**changes)
         invariants.check(
-            self.own.state is not MemberState.READY or self.is_confirmed,
+            self.own.state is not member_records.MemberState.READY
+            or self.is_confirmed,
             "ready_only_when_confirmed",
         )
 
@@ -432,7 +442,9 @@
         ):
             self._publish()
 
-    def _records(self, keys: Iterable[int]) -> list[MemberRecord]:
+    def _records(
+        self, keys: Iterable[int]
+    ) -> list[member_records.MemberRecord]:
         found = map(self._view.get, keys)
         return [record for record in found if record is not None]
 
@@ -440,9 +452,11 @@
         return _HEAD_BYTES + _packing.size_of(self.own)
 
     def _send(self, address: str, payload: Any) -> None:
-        self._directory.effects.messages.append(Outgoing(address, payload))
+        self._directory.effects.messages.append(
+            member_messages.Outgoing(address, payload)
+        )
 
-    def _meet(self, sender: MemberRecord) -> None:
+    def _meet(self, sender: member_records.MemberRecord) -> None:
         self._directory.apply(sender)
         self._directory.note_configuration(
             sender.configuration_version, sender.address
@@ -455,7 +469,7 @@
         key: int,
         address: str,
         is_accusing: bool,
-        request: ProbeRequest | None = None,
+        request: member_messages.ProbeRequest | None = None,
         requester: str = "",
     ) -> None:
         serial = self._detector.start(
@@ -473,7 +487,7 @@
             return
         notices = self._directory.notice_about(key, 0)
         piggyback = self._directory.piggyback(self._own_bytes(), notices)
-        self._send(address, Probe(serial, self.own, piggyback))
+        self._send(address, member_messages.Probe(serial, self.own, piggyback))
 
     def _probe_some(self, count: int) -> None:
         keys = self._view.pick(self.own.zone, count + 1, self._random)
@@ -505,7 +519,7 @@
                 piggyback = self._directory.piggyback(
                     self._own_bytes() + len(pending.address)
                 )
-                request = ProbeRequest(
+                request = member_messages.ProbeRequest(
                     serial,
                     self.own,
                     pending.target,
@@ -541,10 +555,13 @@
         self,
         key: int,
         suspicion: detector_module.Suspicion,
-        record: MemberRecord,
+        record: member_records.MemberRecord,
     ) -> None:
-        notice = Notice(
-            key, suspicion.version, Status.GONE, suspicion.witnesses
+        notice = member_messages.Notice(
+            key,
+            suspicion.version,
+            member_messages.Status.GONE,
+            suspicion.witnesses,
         )
         if self._directory.is_removable(notice, record):
             self._directory.remove(notice)
@@ -558,7 +575,7 @@
         if is_witness or self._random.random() < share:
             self._detector.probe_soon(key)
 
-    def _note_round_trip(self, subject: MemberRecord) -> None:
+    def _note_round_trip(self, subject: member_records.MemberRecord) -> None:
         # A node that reaches other zones but not its own has lost its own
         # link and must not accuse its zone.
         is_own_zone = subject.zone == self.own.zone
@@ -574,13 +591,17 @@
             if suspicion.witnesses == own_evidence:
                 self._detector.clear(key)
 
-    def _remove_replaced(self, key: int, subject: MemberRecord) -> None:
+    def _remove_replaced(
+        self, key: int, subject: member_records.MemberRecord
+    ) -> None:
         record = self._view.get(key)
         if record is None or record.address != subject.address:
             return
         witnesses = (self._directory.own_key,)
         self._directory.remove(
-            Notice(key, record.version, Status.REPLACED, witnesses)
+            member_messages.Notice(
+                key, record.version, member_messages.Status.REPLACED, witnesses
+            )
         )
 
     def _follow_relay_role(self) -> None:
@@ -592,7 +613,7 @@
                 self._zones.reset(self._now_ms)
         self._was_relay = is_relay
 
-    def _pick_in_other_zone(self) -> MemberRecord | None:
+    def _pick_in_other_zone(self) -> member_records.MemberRecord | None:
         zone = self._zones.pick(self._random) if self._was_relay else None
         if zone is None:
             return None
@@ -663,4 +684,4 @@
         known = [record.address for record in self.relays(self.own.zone)]
         address = self._joining.next_address(self._now_ms, known)
         if address is not None:
-            self._send(address, Join(self.own))
+            self._send(address, member_messages.Join(self.own))
--- a/src/clementinekeel/membership/messages.py
+++ b/src/clementinekeel/membership/messages.py
@@ -7,7 +7,7 @@
 import enum
 from typing import Any, NamedTuple
 
-from clementinekeel.membership.records import MemberRecord
+from clementinekeel.membership import records as member_records
 
 MAX_PIGGYBACKED = 8
 """Records and notices that travel with one probe or ack."""
@@ -61,7 +61,7 @@
         A node that has it in force.
     """
 
-    records: tuple[MemberRecord, ...]
+    records: tuple[member_records.MemberRecord, ...]
     notices: tuple[Notice, ...]
     configuration_version: int
     configuration_address: str
@@ -77,7 +77,7 @@
     """
 
     serial: int
-    sender: MemberRecord
+    sender: member_records.MemberRecord
     piggyback: Piggyback
 
 
@@ -91,7 +91,7 @@
     """
 
     serial: int
-    subject: MemberRecord
+    subject: member_records.MemberRecord
     piggyback: Piggyback
 
 
@@ -99,7 +99,7 @@
     """Ask a helper to probe a member that did not answer the sender."""
 
     serial: int
-    sender: MemberRecord
+    sender: member_records.MemberRecord
     target: int
     address: str
     piggyback: Piggyback
@@ -108,14 +108,14 @@
 class Join(NamedTuple):
     """Ask an entry point for members."""
 
-    sender: MemberRecord
+    sender: member_records.MemberRecord
 
 
 class Members(NamedTuple):
     """Part of the answer to a join."""
 
-    sender: MemberRecord
-    records: tuple[MemberRecord, ...]
+    sender: member_records.MemberRecord
+    records: tuple[member_records.MemberRecord, ...]
 
 
 class Digest(NamedTuple):
@@ -131,7 +131,7 @@
         Hashes of one zone's buckets, in the second step.
     """
 
-    sender: MemberRecord
+    sender: member_records.MemberRecord
     zones: tuple[tuple[str, int], ...]
     unreachable: tuple[str, ...]
     zone: str
@@ -159,7 +159,7 @@
     low: int
     high: int
     versions: bytes
-    records: tuple[MemberRecord, ...]
+    records: tuple[member_records.MemberRecord, ...]
     notices: tuple[Notice, ...]
     wanted: tuple[int, ...]
 
@@ -175,9 +175,9 @@
     """What one call of ``Membership`` asks for and has changed."""
 
     messages: list[Outgoing]
-    joined: list[MemberRecord]
-    changed: list[MemberRecord]
-    removed: list[MemberRecord]
+    joined: list[member_records.MemberRecord]
+    changed: list[member_records.MemberRecord]
+    removed: list[member_records.MemberRecord]
 
 
 def no_effects() -> Effects:
--- a/src/clementinekeel/membership/relays.py
+++ b/src/clementinekeel/membership/relays.py
@@ -8,18 +8,22 @@
 import hashlib
 import heapq
 
-from clementinekeel.membership.records import MemberRecord
-from clementinekeel.membership.records import MemberState
+from clementinekeel.membership import records as member_records
 
 RELAYS_PER_ZONE = 3
 _SCORE_BYTES = 8
-_STAYING = (MemberState.JOINING, MemberState.READY)
+_STAYING = (
+    member_records.MemberState.JOINING,
+    member_records.MemberState.READY,
+)
 
 Ranking = list[tuple[bool, int, int]]
 """Scores of the relays, best first; the last item is the key."""
 
 
-def score(key: int, record: MemberRecord) -> tuple[bool, int, int]:
+def score(
+    key: int, record: member_records.MemberRecord
+) -> tuple[bool, int, int]:
     """Return a member's rank; the highest ones are relays.
 
     Leaving members come last, and are relays only if there are no others,
@@ -31,17 +35,21 @@
     return is_preferred(record), int.from_bytes(digest, "big"), key
 
 
-def is_preferred(record: MemberRecord) -> bool:
+def is_preferred(record: member_records.MemberRecord) -> bool:
     """Tell whether a member is going to stay."""
     return record.state in _STAYING
 
 
-def rank(members: Iterable[tuple[int, MemberRecord]]) -> Ranking:
+def rank(
+    members: Iterable[tuple[int, member_records.MemberRecord]],
+) -> Ranking:
     """Return the ranking of the best of some members of one zone."""
     scores = (score(key, record) for key, record in members)
     return heapq.nlargest(RELAYS_PER_ZONE, scores)
 
 
-def insert(ranking: Ranking, key: int, record: MemberRecord) -> Ranking:
+def insert(
+    ranking: Ranking, key: int, record: member_records.MemberRecord
+) -> Ranking:
     """Return a ranking with one more member."""
     return heapq.nlargest(RELAYS_PER_ZONE, [*ranking, score(key, record)])
--- a/src/clementinekeel/membership/removals.py
+++ b/src/clementinekeel/membership/removals.py
@@ -8,8 +8,7 @@
 import random as random_module
 from typing import NamedTuple
 
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.messages import Status
+from clementinekeel.membership import messages as member_messages
 
 RETENTION_MS = 3_900_000
 """An hour's partition and a margin."""
@@ -26,7 +25,7 @@
         Empty if the member was not known.
     """
 
-    notice: Notice
+    notice: member_messages.Notice
     removed_ms: int
     zone: str
     address: str
@@ -61,7 +60,7 @@
         if len(self._removals) > MAX_REMOVALS:
             self._removals.popitem(last=False)
 
-    def find(self, key: int, version: int) -> Notice | None:
+    def find(self, key: int, version: int) -> member_messages.Notice | None:
         """Return the notice that rules out a version of a record."""
         removal = self._removals.get(key)
         if removal is None or removal.notice.version < version:
@@ -91,6 +90,7 @@
         candidates = [
             removal
             for removal in self._removals.values()
-            if removal.notice.status is Status.GONE and removal.zone == zone
+            if removal.notice.status is member_messages.Status.GONE
+            and removal.zone == zone
         ]
         return random.choice(candidates) if candidates else None
--- a/src/clementinekeel/membership/view.py
+++ b/src/clementinekeel/membership/view.py
@@ -9,19 +9,16 @@
 from typing import NamedTuple
 
 from clementinekeel.membership import _packing
+from clementinekeel.membership import messages as member_messages
+from clementinekeel.membership import records as member_records
 from clementinekeel.membership import relays
 from clementinekeel.membership import removals
-from clementinekeel.membership.messages import Notice
-from clementinekeel.membership.messages import Status
-from clementinekeel.membership.records import KEY_BITS
-from clementinekeel.membership.records import MemberRecord
-from clementinekeel.membership.records import MemberState
 from clementinekeel.runtime import invariants
 
 BUCKET_BITS = 6
 BUCKETS = 1 << BUCKET_BITS
 """64 hashes of 8 bytes fit one datagram; 3,000 members are 47 a bucket."""
-BUCKET_SHIFT = KEY_BITS - BUCKET_BITS
+BUCKET_SHIFT = member_records.KEY_BITS - BUCKET_BITS
 HASH_BYTES = 8
 
 
@@ -44,7 +41,7 @@
     """
 
     change: Change
-    record: MemberRecord | None
+    record: member_records.MemberRecord | None
 
 
 def hash_version(key: int, version: int) -> int:
@@ -110,12 +107,12 @@
         """Zones that have members."""
         return list(self._zones)
 
-    def get(self, key: int) -> MemberRecord | None:
+    def get(self, key: int) -> member_records.MemberRecord | None:
         """Return a member's record."""
         packed = self._packed.get(key)
         return None if packed is None else _packing.unpack(packed)
 
-    def records(self) -> Iterator[MemberRecord]:
+    def records(self) -> Iterator[member_records.MemberRecord]:
         """Yield all records."""
         return map(_packing.unpack, self._packed.values())
 
@@ -129,7 +126,9 @@
         found = self._zones.get(zone)
         return [] if found is None else list(found.all_keys())
 
-    def service_members(self, service: str) -> list[tuple[int, MemberRecord]]:
+    def service_members(
+        self, service: str
+    ) -> list[tuple[int, member_records.MemberRecord]]:
         """Return the members that serve a service."""
         return [
             (key, _packing.unpack(self._packed[key]))
@@ -189,7 +188,9 @@
                 chosen.add(random.choice(bucket))
         return sorted(chosen)
 
-    def apply(self, key: int, record: MemberRecord, now_ms: int) -> Applied:
+    def apply(
+        self, key: int, record: member_records.MemberRecord, now_ms: int
+    ) -> Applied:
         """Take a record unless it is old or ruled out by a removal."""
         known = self.get(key)
         if known is not None and known.version >= record.version:
@@ -197,8 +198,10 @@
         removed = self.removals.find(key, record.version)
         if removed is not None:
             return Applied(Change.NONE, None)
-        if record.state is MemberState.LEFT:
-            notice = Notice(key, record.version, Status.LEFT, ())
+        if record.state is member_records.MemberState.LEFT:
+            notice = member_messages.Notice(
+                key, record.version, member_messages.Status.LEFT, ()
+            )
             return self.remove(notice, now_ms)
         self.removals.forget(key)
         if known is None:
@@ -207,7 +210,7 @@
         self._replace(key, known, record)
         return Applied(Change.CHANGED, record)
 
-    def remove(self, notice: Notice, now_ms: int) -> Applied:
+    def remove(self, notice: member_messages.Notice, now_ms: int) -> Applied:
         """Remove a member and remember it, also if it is not known."""
         known = self.get(notice.key)
         if known is not None and known.version > notice.version:
@@ -225,7 +228,7 @@
         self._discard(notice.key, known)
         return Applied(Change.REMOVED, known)
 
-    def _insert(self, key: int, record: MemberRecord) -> None:
+    def _insert(self, key: int, record: member_records.MemberRecord) -> None:
         invariants.check(
             self.removals.find(key, record.version) is None,
             "removed_member_stays_removed",
@@ -243,7 +246,10 @@
             zone.ranking = relays.insert(zone.ranking, key, record)
 
     def _replace(
-        self, key: int, known: MemberRecord, record: MemberRecord
+        self,
+        key: int,
+        known: member_records.MemberRecord,
+        record: member_records.MemberRecord,
     ) -> None:
         invariants.check(
             record.version > known.version,
@@ -263,7 +269,7 @@
         self._discard(key, known)
         self._insert(key, record)
 
-    def _discard(self, key: int, known: MemberRecord) -> None:
+    def _discard(self, key: int, known: member_records.MemberRecord) -> None:
         del self._packed[key]
         zone = self._zones[known.zone]
         zone.remove(key)
--- a/src/clementinekeel/nodes/_intake.py
+++ b/src/clementinekeel/nodes/_intake.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from clementinekeel.membership import limits
-from clementinekeel.membership.messages import ProbeAck
-from clementinekeel.membership.records import MemberId
+from clementinekeel.membership import messages as member_messages
+from clementinekeel.membership import records as member_records
 from clementinekeel.nodes import codec as codec_module
 from clementinekeel.nodes import gossip_messages
 from clementinekeel.runtime import errors
@@ -59,7 +59,7 @@
     def __init__(
         self,
         codec: codec_module.Codec,
-        own_id: MemberId,
+        own_id: member_records.MemberId,
         counters: Counters,
     ) -> None:
         self._codec = codec
@@ -96,7 +96,7 @@
             raise DropError("decode", address, str(error)) from error
         message = self._codec.decode(frames, address)
         envelope = message.envelope
-        sender = MemberId(envelope.sender, envelope.incarnation)
+        sender = member_records.MemberId(envelope.sender, envelope.incarnation)
         if sender == self._own_id:
             raise DropError("own", address, "own message")
         if type(message.payload) not in _gossip_types:
@@ -108,17 +108,19 @@
         return message.payload
 
     def _check_sender(
-        self, payload: Any, sender: MemberId, address: str
+        self, payload: Any, sender: member_records.MemberId, address: str
     ) -> None:
         # The subject of an ack differs from the sender when a helper
         # passes it on.
-        if isinstance(payload, ProbeAck) or not hasattr(payload, "sender"):
+        if isinstance(payload, member_messages.ProbeAck) or not hasattr(
+            payload, "sender"
+        ):
             return
         if payload.sender.member_id != sender:
             raise DropError("sender", address, "record of another member")
 
     def _check_sequence(
-        self, sender: MemberId, sequence: int, address: str
+        self, sender: member_records.MemberId, sequence: int, address: str
     ) -> None:
         key = sender.key
         last = self._sequences.get(key, 0)
--- a/src/clementinekeel/nodes/gossip.py
+++ b/src/clementinekeel/nodes/gossip.py
@@ -9,8 +9,7 @@
 import msgspec
 
 from clementinekeel.membership import membership as membership_module
-from clementinekeel.membership.messages import Effects
-from clementinekeel.membership.messages import Outgoing
+from clementinekeel.membership import messages as member_messages
 from clementinekeel.nodes import _intake
 from clementinekeel.nodes import codec as codec_module
 from clementinekeel.nodes import gossip_messages
@@ -21,7 +20,7 @@
 """Datagrams that wait for the socket; more are dropped, as by a network."""
 _MIN_SLEEP_MS = 1
 
-ChangeHandler = Callable[[Effects], None]
+ChangeHandler = Callable[[member_messages.Effects], None]
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -81,7 +80,9 @@
         own_id = membership.own.member_id
         self._intake = _intake.Intake(codec, own_id, self.counters)
         self._sequence = 0
-        self._waiting: collections.deque[Outgoing] = collections.deque()
+        self._waiting: collections.deque[member_messages.Outgoing] = (
+            collections.deque()
+        )
         self._has_waiting = anyio.Event()
         self._is_oversized_logged = False
 
@@ -140,7 +141,7 @@
             self._has_waiting = anyio.Event()
             await self._has_waiting.wait()
 
-    async def _send_one(self, outgoing: Outgoing) -> None:
+    async def _send_one(self, outgoing: member_messages.Outgoing) -> None:
         data = self._encode(outgoing.payload)
         if len(data) > gossip_messages.MAX_DATAGRAM_BYTES:
             self._drop_oversized(outgoing, len(data))
@@ -167,7 +168,9 @@
         )
         return _encoder.encode(frames)
 
-    def _drop_oversized(self, outgoing: Outgoing, size: int) -> None:
+    def _drop_oversized(
+        self, outgoing: member_messages.Outgoing, size: int
+    ) -> None:
         self.counters.dropped["send_size"] += 1
         if not self._is_oversized_logged:
             self._is_oversized_logged = True
@@ -179,7 +182,7 @@
                 bytes=size,
             )
 
-    def _handle(self, effects: Effects) -> None:
+    def _handle(self, effects: member_messages.Effects) -> None:
         for outgoing in effects.messages:
             if len(self._waiting) >= MAX_WAITING:
                 self.counters.dropped["send_queue"] += 1
--- a/src/clementinekeel/nodes/messages.py
+++ b/src/clementinekeel/nodes/messages.py
@@ -6,7 +6,7 @@
 
 from typing import Any, NamedTuple
 
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.runtime import registry
 
 Headers = tuple[tuple[str, str], ...]
@@ -162,7 +162,7 @@
     """
 
     stream: int
-    outcome: Outcome
+    outcome: outcomes.Outcome
     status: int
     headers: Headers
     allowance_used: int
@@ -194,7 +194,7 @@
     """The request ran or may have run, and there is no whole answer."""
 
     stream: int
-    outcome: Outcome
+    outcome: outcomes.Outcome
     reason: str
     step: str
     peer: str
--- a/tests/callers/test_app.py
+++ b/tests/callers/test_app.py
@@ -9,7 +9,7 @@
 from clementinekeel.callers import messages
 from clementinekeel.callers import problems
 from clementinekeel.nodes import streams
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 
 pytestmark = pytest.mark.anyio
 
@@ -113,7 +113,7 @@
 
 
 def make_answer(body=b"ok", length=2, rest=None, status=200, headers=()):
-    outcome = Outcome.COMPLETED
+    outcome = outcomes.Outcome.COMPLETED
     return messages.CallerAnswer(
         outcome, status, headers, "", body, length, rest
     )
--- a/tests/retries/test_chain.py
+++ b/tests/retries/test_chain.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.retries import allowance
 from clementinekeel.retries import budget as budgets
 from clementinekeel.retries import calls
@@ -62,7 +62,7 @@
                 attempt, budget, self.random, self.policy
             )
             if isinstance(decision, messages.Stop):
-                return outcome is Outcome.COMPLETED
+                return outcome is outcomes.Outcome.COMPLETED
             assert call.use() or self.policy == "baseline"
 
     def attempt(self, path, tree, call):
@@ -70,20 +70,20 @@
         fate = self.fate(path)
         if fate == REFUSE:
             call.on_refused()
-            return Outcome.REFUSED
+            return outcomes.Outcome.REFUSED
         if fate == UNSENT:
             call.on_lost()
-            return Outcome.UNKNOWN
+            return outcomes.Outcome.UNKNOWN
         self.arrivals[path] += 1
         pool = allowance.AllowancePool(granted)
         whole = self.serve(path, tree, pool)
         if fate == LOST:
             call.on_lost()
             call.on_answer(0)
-            return Outcome.UNKNOWN
+            return outcomes.Outcome.UNKNOWN
         call.on_answer(pool.used)
         done = whole and fate == OK
-        return Outcome.COMPLETED if done else Outcome.FAILED
+        return outcomes.Outcome.COMPLETED if done else outcomes.Outcome.FAILED
 
     def serve(self, path, tree, pool):
         """Make all onward calls at the same time."""
--- a/tests/retries/test_decisions.py
+++ b/tests/retries/test_decisions.py
@@ -4,13 +4,15 @@
 
 import pytest
 
-from clementinekeel.outcomes.messages import Outcome
+from clementinekeel.outcomes import messages as outcomes
 from clementinekeel.retries import backoff
 from clementinekeel.retries import budget as budgets
 from clementinekeel.retries import decisions
 from clementinekeel.retries import messages
 
-REFUSED = messages.Attempt("s", Outcome.REFUSED, False, 1, 2, False, 5_000, 0)
+REFUSED = messages.Attempt(
+    "s", outcomes.Outcome.REFUSED, False, 1, 2, False, 5_000, 0
+)
 
 
 def full_budget():
@@ -30,11 +32,23 @@
     ("changes", "reason"),
     [
         ({}, None),
-        ({"outcome": Outcome.FAILED, "idempotent": True}, None),
-        ({"outcome": Outcome.UNKNOWN, "idempotent": True}, None),
-        ({"outcome": Outcome.FAILED}, "may_have_run"),
-        ({"outcome": Outcome.UNKNOWN}, "may_have_run"),
-        ({"outcome": Outcome.COMPLETED, "idempotent": True}, "completed"),
+        (
+            {"outcome": outcomes.Outcome.FAILED, "idempotent": True},
+            None,
+        ),
+        (
+            {"outcome": outcomes.Outcome.UNKNOWN, "idempotent": True},
+            None,
+        ),
+        ({"outcome": outcomes.Outcome.FAILED}, "may_have_run"),
+        ({"outcome": outcomes.Outcome.UNKNOWN}, "may_have_run"),
+        (
+            {
+                "outcome": outcomes.Outcome.COMPLETED,
+                "idempotent": True,
+            },
+            "completed",
+        ),
         ({"remaining_ms": 0}, "deadline"),
         ({"remaining_ms": 900, "retry_after_ms": 900}, "deadline"),
     ],
