Add randomised faults on real processes, judged by runs

Cause: owner and entry were run against faults in the demonstration only, one killed and one stopped VM.

Change: bench/randomised.py kills, freezes, stops and replaces processes of the Office's 16 VMs and fails the store, 30 in 100 times two at once, at 50 requests a second. It compares runs with what callers were told, looks for nodes that ended, errors and slots not freed, prints the share of unknown among the requests that met each kind of fault, and exits with 1 if a promise was broken. Fleet.restart_backend starts a backend server beside a running node.

--- /dev/null
+++ b/bench/randomised.py
@@ -0,0 +1,262 @@
+"""Random faults on the Office's fleet, judged by the backend servers' counts.
+
+Every few seconds a process is killed, frozen, stopped or replaced, or the
+store fails, sometimes two at once. Every run at a backend server is compared
+with what callers were told. Exits with 1 if a promise was broken.
+"""
+
+import argparse
+from collections.abc import Awaitable, Callable, Iterable
+import pathlib
+import random
+import signal
+import sys
+import time
+from typing import NamedTuple
+
+import anyio
+import anyio.abc
+import httpx
+
+from standins import caller
+from standins import fleet
+from standins import judge
+from standins import load
+from standins import workload
+
+FOLDER = pathlib.Path(__file__).parent.parent / "examples" / "office"
+DEFAULT_SECONDS = 45.0
+RATE_PER_S = 50.0
+REQUEST_TIMEOUT_MS = 6_000
+END_TIMEOUT_S = 30.0
+FAULT_INTERVAL_S = (2.0, 5.0)
+FREEZE_S = (0.5, 8.0)
+REPLACE_AFTER_S = (0.2, 2.0)
+STORE_FAULT_S = (2.0, 6.0)
+STOP_TIMEOUT_S = 25.0
+PAIR_SHARE = 0.3
+"""Share of the faults that come with a second one."""
+AFTER_S = 3.0
+"""Requests sent this soon after a fault are counted with it."""
+STORE_FAULTS = (
+    {"down": "503"},
+    {"down": "closed"},
+    {"delay_ms": 1_500},
+    {"lose_share": 0.5},
+)
+
+Fault = Callable[[str], Awaitable[None]]
+
+
+class Window(NamedTuple):
+    """When a fault was in force, in seconds of the monotonic clock."""
+
+    kind: str
+    name: str
+    start_s: float
+    end_s: float
+
+
+class Run:
+    """Load and faults of one seed."""
+
+    def __init__(
+        self, running: fleet.Fleet, seed: int, kinds: Iterable[str]
+    ) -> None:
+        self.broken: list[str] = []
+        self.windows: list[Window] = []
+        self._load_random = random.Random(seed)
+        self.load = load.Load(running, self._make_request, self._load_random)
+        self._fleet = running
+        # Independent of the load, whose draws depend on the timing.
+        self._random = random.Random(seed + 1_000_000)
+        self._sent_s: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._faults: dict[str, Fault] = {
+            "kill VM": self._kill_vm,
+            "freeze node": self._freeze_node,
+            "freeze backend": self._freeze_backend,
+            "kill backend": self._kill_backend,
+            "planned stop": self._stop_vm,
+            "store": self._fail_store,
+        }
+        self._kinds = sorted(kinds) or list(self._faults)
+
+    async def run(self, seconds: float) -> None:
+        """Send the load, cause faults and wait for both to end."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cause_faults, seconds)
+            sent = await self.load.run(RATE_PER_S, seconds, END_TIMEOUT_S)
+        missing = sent - len(self.load.endings)
+        if missing:
+            self.broken.append(f"{missing} requests have no ending")
+
+    async def check_nodes(self) -> None:
+        """Look for ended nodes, errors and slots that were not freed."""
+        async with httpx.AsyncClient() as http:
+            for name, vm in self._fleet.vms.items():
+                if not vm.node.is_running:
+                    self.broken.append(f"the node of {name} has ended")
+                    continue
+                url = f"http://{vm.node.addresses['operators']}/v1/status"
+                status = (await http.get(url)).json()
+                self._check_status(name, status)
+
+    def judge(self) -> None:
+        """Compare endings with runs."""
+        for ending in self.load.endings:
+            self.broken += judge.broken_promises(ending, self._fleet.started)
+
+    def report(self) -> list[str]:
+        """Return the lines of the report."""
+        endings = self.load.endings
+        rows = judge.rows(endings, self._fleet.started)
+        return [
+            judge.HEADING,
+            *map(str, rows),
+            f"not completed: {judge.reasons(endings)}",
+            f"{'fault':<16}{'times':>6}{'requests':>10}{'unknown':>9}",
+            *(self._share(kind) for kind in self._kinds),
+        ]
+
+    def _check_status(self, name: str, status: dict[str, object]) -> None:
+        counters = status["counters"]
+        assert isinstance(counters, dict)
+        for field in ("running", "queued"):
+            if status[field]:
+                self.broken.append(f"{name}: {status[field]} still {field}")
+        for counter in ("owner_errors", "entry_errors"):
+            if counters.get(counter):
+                self.broken.append(f"{name}: {counter} {counters[counter]}")
+
+    def _share(self, kind: str) -> str:
+        windows = [item for item in self.windows if item.kind == kind]
+        met = [item for item in self.load.endings if self._met(item, windows)]
+        unknown = sum(item.outcome == "unknown" for item in met)
+        share = 100 * unknown / max(1, len(met))
+        return f"{kind:<16}{len(windows):>6}{len(met):>10}{share:>8.2f}%"
+
+    def _met(self, ending: caller.Ending, windows: Iterable[Window]) -> bool:
+        start_s = self._sent_s[ending.request.run]
+        end_s = start_s + ending.latency_s
+        return any(
+            start_s < item.end_s + AFTER_S and end_s > item.start_s
+            for item in windows
+        )
+
+    def _make_request(self, number: int) -> caller.Request:
+        request = workload.make_request(
+            workload.OFFICE, number, self._load_random, REQUEST_TIMEOUT_MS
+        )
+        self._sent_s[request.run] = time.monotonic()
+        return request
+
+    async def _cause_faults(self, seconds: float) -> None:
+        end_s = time.monotonic() + seconds
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(self._random.uniform(*FAULT_INTERVAL_S))
+                if time.monotonic() > end_s:
+                    return
+                count = 2 if self._random.random() < PAIR_SHARE else 1
+                for _ in range(count):
+                    self._cause_one(tasks)
+
+    def _cause_one(self, tasks: anyio.abc.TaskGroup) -> None:
+        kind = self._random.choice(self._kinds)
+        free = sorted(set(self._fleet.vms) - self._busy)
+        name = "store" if kind == "store" else self._random.choice(free)
+        if name not in self._busy:
+            tasks.start_soon(self._run_fault, kind, name)
+
+    async def _run_fault(self, kind: str, name: str) -> None:
+        self._busy.add(name)
+        start_s = time.monotonic()
+        print(f"{kind}: {name}", flush=True)
+        try:
+            await self._faults[kind](name)
+        finally:
+            self._busy.discard(name)
+        self.windows.append(Window(kind, name, start_s, time.monotonic()))
+
+    async def _kill_vm(self, name: str) -> None:
+        vm = self._fleet.vms[name]
+        self.load.avoid.add(name)
+        vm.send_signal(signal.SIGKILL)
+        await self._replace(vm)
+
+    async def _freeze_node(self, name: str) -> None:
+        await self._freeze(self._fleet.vms[name].node)
+
+    async def _freeze_backend(self, name: str) -> None:
+        await self._freeze(self._fleet.vms[name].backend)
+
+    async def _kill_backend(self, name: str) -> None:
+        self._fleet.vms[name].backend.send_signal(signal.SIGKILL)
+        await anyio.sleep(self._random.uniform(*REPLACE_AFTER_S))
+        await self._fleet.restart_backend(name)
+
+    async def _stop_vm(self, name: str) -> None:
+        vm = self._fleet.vms[name]
+        self.load.avoid.add(name)
+        vm.node.send_signal(signal.SIGTERM)
+        code = None
+        with anyio.move_on_after(STOP_TIMEOUT_S):
+            code = await vm.node.wait()
+        if code != 0:
+            self.broken.append(f"the planned stop of {name} ended with {code}")
+        vm.send_signal(signal.SIGKILL)
+        await self._replace(vm)
+
+    async def _fail_store(self, name: str) -> None:
+        fault = self._random.choice(STORE_FAULTS)
+        url = f"{self._fleet.store}/faults"
+        async with httpx.AsyncClient() as http:
+            await http.put(url, json=fault)
+            await anyio.sleep(self._random.uniform(*STORE_FAULT_S))
+            await http.put(url, json={})
+
+    async def _freeze(self, process: fleet.Process) -> None:
+        process.send_signal(signal.SIGSTOP)
+        await anyio.sleep(self._random.uniform(*FREEZE_S))
+        process.send_signal(signal.SIGCONT)
+
+    async def _replace(self, vm: fleet.Vm) -> None:
+        await anyio.sleep(self._random.uniform(*REPLACE_AFTER_S))
+        await self._fleet.start_vm(vm.spec)
+        self.load.avoid.discard(vm.spec.name)
+
+
+async def run(seed: int, seconds: float, kinds: Iterable[str]) -> int:
+    """Run one seed; return the exit code."""
+    options = fleet.Options(FOLDER / "inventory.ini", FOLDER / "rules.ini")
+    async with fleet.run(options) as running:
+        current = Run(running, seed, kinds)
+        await current.run(seconds)
+        await running.drain_traces()
+        await current.check_nodes()
+        current.judge()
+    print("\n".join(current.report()))
+    for fault in current.broken:
+        print(f"BROKEN: {fault}")
+    print(f"seed {seed}, {seconds:.0f} s, {len(current.broken)} broken")
+    return 1 if current.broken else 0
+
+
+def main() -> None:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(prog="bench.randomised")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument(
+        "--fault",
+        action="append",
+        default=[],
+        help="cause only faults of this kind; can be repeated",
+    )
+    options = parser.parse_args()
+    sys.exit(anyio.run(run, options.seed, options.seconds, options.fault))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -222,18 +222,15 @@
     async def start_vm(self, spec: model.EndpointSpec) -> None:
         """Start the node and the backend server of an endpoint."""
         node = await self._start_node(spec)
-        backend = await self._spawn(
-            f"{spec.name} backend server",
-            "standins.backend",
-            f"--node={node.addresses['backend']}",
-            f"--service={spec.service}",
-            f"--endpoint={spec.name}",
-            f"--slots={spec.slots}",
-            f"--connections={spec.connections}",
-            "--trace",
-        )
+        backend = await self._start_backend(spec, node)
         self.vms[spec.name] = Vm(spec, node, backend)
 
+    async def restart_backend(self, name: str) -> None:
+        """Start a new backend server beside the node of an endpoint."""
+        spec, node, _ = self.vms[name]
+        backend = await self._start_backend(spec, node)
+        self.vms[name] = Vm(spec, node, backend)
+
     async def apply(self, reason: str) -> None:
         """Put the inventory and the rules into force."""
         async with client.StoreClient([self.store], random.Random()) as store:
@@ -306,6 +303,20 @@
             str(path),
         )
 
+    async def _start_backend(
+        self, spec: model.EndpointSpec, node: Process
+    ) -> Process:
+        return await self._spawn(
+            f"{spec.name} backend server",
+            "standins.backend",
+            f"--node={node.addresses['backend']}",
+            f"--service={spec.service}",
+            f"--endpoint={spec.name}",
+            f"--slots={spec.slots}",
+            f"--connections={spec.connections}",
+            "--trace",
+        )
+
     async def _spawn(self, name: str, module: str, *arguments: str) -> Process:
         opened = await anyio.open_process(
             [sys.executable, "-m", module, *arguments],
