Keep drains in the audit trail of the store

Cause: a drain was only in the log of one node, which is lost with its VM, so nobody could tell later who had drained an endpoint and why. Ruled out: entries among those of the changes, since relays watch them and load a version from consecutive ones; keys by wall clock, since the clocks of operators' VMs differ. The number of an entry is claimed by compare-and-swap, a lost answer is read back, and each kind keeps 10,000 entries. history merges both kinds in the store's order; its JSON now names them entries.

--- a/src/clementinekeel/operators/cli/drain.py
+++ b/src/clementinekeel/operators/cli/drain.py
@@ -1,23 +1,24 @@
 """``clementinekeel drain``: stop new work of an endpoint."""
 
-from cleo.helpers import argument
-
-from clementinekeel.operators.cli import _command
+from clementinekeel.operators import node_client
+from clementinekeel.operators import status as node_status
 from clementinekeel.operators.cli import _drains
+from clementinekeel.platform import changes
 
 
-class DrainCommand(_command.OperatorCommand):
+class DrainCommand(_drains.DrainingCommand):
     """Stop new work of an endpoint; work in flight ends."""
 
     name = "drain"
     description = "Stop new work of an endpoint; work in flight ends."
-    arguments = [argument("endpoint", "Name of the endpoint.")]
-    options = [_command.NODE_OPTION, _command.JSON_OPTION]
-    examples = ("drain bookings-1 --node 192.0.2.21:7003",)
+    action = changes.DrainAction.DRAIN
+    examples = (
+        "drain bookings-1 --reason 'VM is replaced'"
+        " --node 192.0.2.21:7003 --settings node.ini",
+    )
 
-    async def run_command(self) -> _command.ExitCode:
+    async def order(
+        self, node: node_client.NodeClient, endpoint: str
+    ) -> node_status.Status:
         """Ask the node beside the endpoint."""
-        async with self.open_node() as node:
-            status = await node.drain(self.argument("endpoint"))
-        self.emit(_drains.report(status), status)
-        return _command.ExitCode.DONE
+        return await node.drain(endpoint)
--- a/src/clementinekeel/operators/cli/history.py
+++ b/src/clementinekeel/operators/cli/history.py
@@ -1,4 +1,4 @@
-"""``clementinekeel history``: accepted changes."""
+"""``clementinekeel history``: the audit trail."""
 
 from cleo.helpers import option
 
@@ -10,12 +10,12 @@
 
 
 class HistoryCommand(_command.OperatorCommand):
-    """Show the latest accepted changes, newest first."""
+    """Show the latest accepted changes and drains, newest first."""
 
     name = "history"
-    description = "Show the latest accepted changes, newest first."
+    description = "Show the latest accepted changes and drains, newest first."
     options = [
-        option("limit", None, "Number of changes.", flag=False, default="20"),
+        option("limit", None, "Number of entries.", flag=False, default="20"),
         *_command.STORE_OPTIONS,
         _command.JSON_OPTION,
     ]
@@ -28,13 +28,22 @@
             entries = store_access.value_of(
                 await changes.history(store, limit)
             )
-        lines = []
+        lines: list[str] = []
         for entry in entries:
-            lines.append(
-                f"version {entry.version} (from {entry.from_version})"
-                f" {entry.made_at} by {entry.author} from {entry.origin},"
-                f" change {entry.change_id}: {entry.reason}"
-            )
-            lines += [f"  {line}" for line in entry.difference]
-        self.emit(lines or ["no changes yet"], {"changes": entries})
+            lines += _lines(entry)
+        self.emit(lines or ["no entries yet"], {"entries": entries})
         return _command.ExitCode.DONE
+
+
+def _lines(entry: changes.TrailEntry) -> list[str]:
+    by = f"{entry.made_at} by {entry.author} from {entry.origin}"
+    if isinstance(entry, changes.DrainEntry):
+        return [
+            f"{entry.action} of {entry.endpoint} at version {entry.version}"
+            f" {by}, entry {entry.number}: {entry.reason}"
+        ]
+    return [
+        f"version {entry.version} (from {entry.from_version}) {by},"
+        f" change {entry.change_id}: {entry.reason}",
+        *(f"  {line}" for line in entry.difference),
+    ]
--- a/src/clementinekeel/platform/changes.py
+++ b/src/clementinekeel/platform/changes.py
@@ -8,6 +8,10 @@
 * ``audit/<version>``: the entry of each accepted change, written with the
   head, so that a reader at any recent version learns what changed without
   reading the head, which names all objects.
+* ``drains/<number>``: the entry of each drain or its end that an operator
+  has asked for. Kept apart from the changes, so that readers of the
+  configuration are not woken by it and find the entries of all versions side
+  by side.
 * ``changes/<change id>``: version at which a change was accepted, written
   with the head.
 * ``started/<change id>``: base version of a change, written with its first
@@ -17,6 +21,7 @@
 import base64
 from collections.abc import Iterable, Sequence
 import datetime
+import enum
 import hashlib
 import itertools
 import re
@@ -35,6 +40,7 @@
 HEAD_KEY = "config/head"
 OBJECT_PREFIX = "config/objects/"
 AUDIT_PREFIX = "config/audit/"
+DRAIN_PREFIX = "config/drains/"
 CHANGE_PREFIX = "config/changes/"
 STARTED_PREFIX = "config/started/"
 VERSION_DIGITS = 12
@@ -46,8 +52,14 @@
 MAX_BATCH_OPERATIONS = 100
 """The gateway accepts 128 operations in one transaction."""
 MAX_AUDIT_ENTRIES = 10_000
+"""Entries of each kind, so that many drains do not push changes out."""
 EXPIRED_PER_CHANGE = 4
-"""Audit entries removed with each change; one would keep the bound."""
+"""Audit entries removed with each new one; one would keep the bound."""
+MAX_DRAIN_BYTES = 16_384
+DRAIN_ATTEMPTS = 10
+"""An attempt fails when another operator's entry takes the number."""
+RECENT_DRAINS = 50
+"""Entries searched for one whose answer was lost."""
 KEPT_VERSIONS = 100
 """Objects replaced within this many versions are kept for readers that are
 behind."""
@@ -147,6 +159,58 @@
     replaced: dict[str, str]
 
 
+class DrainAction(enum.StrEnum):
+    """What an operator has asked of an endpoint."""
+
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+
+
+class Drain(NamedTuple):
+    """A drain, or its end, that an operator asks for.
+
+    Attributes
+    ----------
+    drain_id : str
+        Chosen by the operator's program; an entry that is written again
+        keeps it.
+    origin : str
+        Where it was asked from.
+    """
+
+    drain_id: str
+    action: DrainAction
+    endpoint: str
+    author: str
+    origin: str
+    reason: str
+
+
+class DrainEntry(NamedTuple):
+    """Record that a drain was asked for; it may have failed afterwards.
+
+    Attributes
+    ----------
+    version : int
+        Configuration accepted at that time.
+    made_at : str
+        Wall clock of the operator's program, ISO 8601 in UTC.
+    """
+
+    number: int
+    version: int
+    drain_id: str
+    action: DrainAction
+    endpoint: str
+    author: str
+    origin: str
+    reason: str
+    made_at: str
+
+
+TrailEntry = AuditEntry | DrainEntry
+
+
 class Conflict(errors.StoreError):
     """Another change was accepted first.
 
@@ -265,6 +329,38 @@
         return AuditEntry(*msgspec.structs.astuple(self))
 
 
+class _Drain(msgspec.Struct):
+    """Stored form of a drain's entry."""
+
+    number: int
+    version: int
+    drain_id: str
+    action: DrainAction
+    endpoint: str
+    author: str
+    origin: str
+    reason: str
+    made_at: str
+
+    def to_entry(self) -> DrainEntry:
+        return DrainEntry(*msgspec.structs.astuple(self))
+
+
+class _DrainView(NamedTuple):
+    """What a drain's entry needs to know of the store.
+
+    Attributes
+    ----------
+    expired : tuple of str
+        Keys of entries that exceed the bound.
+    """
+
+    recent: tuple[DrainEntry, ...]
+    version: int
+    number: int
+    expired: tuple[str, ...]
+
+
 class _View(NamedTuple):
     """What a change needs to know of the store.
 
@@ -298,12 +394,23 @@
     return f"{AUDIT_PREFIX}{version:0{VERSION_DIGITS}}"
 
 
+def drain_key(number: int) -> str:
+    """Return the key of a drain's entry."""
+    return f"{DRAIN_PREFIX}{number:0{VERSION_DIGITS}}"
+
+
 def audit_version(key: str) -> int:
     """Return the version that an audit key names, or 0."""
     digits = key.removeprefix(AUDIT_PREFIX)
     return int(digits) if digits.isdecimal() else 0
 
 
+def _now() -> str:
+    """Return the wall clock's time, for people who read the trail."""
+    now = datetime.datetime.now(datetime.UTC)
+    return now.isoformat(timespec="milliseconds")
+
+
 def _decode(pair: messages.KeyValue, kind: type[client.T]) -> client.T:
     try:
         return msgspec.json.decode(pair.value, type=kind)
@@ -484,7 +591,6 @@
     objects = {n: v for n, v in head.objects.items() if n in digests}
     objects |= {name: (change.change_id, digests[name]) for name in changed}
     version = change.base_version + 1
-    now = datetime.datetime.now(datetime.UTC)
     entry = _Audit(
         version=version,
         from_version=change.base_version,
@@ -492,7 +598,7 @@
         author=change.author,
         origin=change.origin,
         reason=change.reason,
-        made_at=now.isoformat(timespec="milliseconds"),
+        made_at=_now(),
         difference=change.difference,
         changed=tuple(sorted(changed)),
         removed=tuple(sorted(removed)),
@@ -727,17 +833,51 @@
     return result.Success(NotAccepted(change_id, following))
 
 
+# Audit trail
+
+
 async def history(
     store: client.StoreClient, limit: int
-) -> client.StoreResult[tuple[AuditEntry, ...]]:
-    """Return the latest audit entries, latest first."""
-    entries: list[AuditEntry] = []
-    end = messages.prefix_end(AUDIT_PREFIX)
+) -> client.StoreResult[tuple[TrailEntry, ...]]:
+    """Return the latest entries of the audit trail, latest first.
+
+    Accepted changes and drains are in the order in which the store took
+    them, whatever the clocks of the operators' VMs say.
+    """
+    pairs: list[messages.KeyValue] = []
+    for prefix in (AUDIT_PREFIX, DRAIN_PREFIX):
+        read = await _read_latest(store, prefix, limit)
+        if not isinstance(read, result.Success):
+            return result.Failure(read.failure())
+        pairs += read.unwrap()
+    pairs.sort(key=_revision, reverse=True)
+    try:
+        return result.Success(tuple(map(_decode_entry, pairs[:limit])))
+    except MalformedValue as error:
+        return result.Failure(error)
+
+
+def _revision(pair: messages.KeyValue) -> int:
+    return pair.create_revision
+
+
+def _decode_entry(pair: messages.KeyValue) -> TrailEntry:
+    if pair.key.startswith(DRAIN_PREFIX):
+        return _decode(pair, _Drain).to_entry()
+    return _decode(pair, _Audit).to_entry()
+
+
+async def _read_latest(
+    store: client.StoreClient, prefix: str, limit: int
+) -> client.StoreResult[list[messages.KeyValue]]:
+    """Read the last keys with a prefix, last first, in pages."""
+    pairs: list[messages.KeyValue] = []
+    end = messages.prefix_end(prefix)
     page = HISTORY_PAGE
-    while len(entries) < limit:
-        count = min(page, limit - len(entries))
+    while len(pairs) < limit:
+        count = min(page, limit - len(pairs))
         read = await store.range(
-            messages.Range(AUDIT_PREFIX, end, count, is_descending=True)
+            messages.Range(prefix, end, count, is_descending=True)
         )
         if not isinstance(read, result.Success):
             too_large = isinstance(read.failure(), errors.AnswerTooLarge)
@@ -745,14 +885,109 @@
                 return result.Failure(read.failure())
             page = page // 2
             continue
-        try:
-            entries += _decode_audit(read.unwrap().pairs)
-        except MalformedValue as error:
-            return result.Failure(error)
+        pairs += read.unwrap().pairs
         if not read.unwrap().has_more:
             break
-        end = audit_key(entries[-1].version)
-    return result.Success(tuple(entries))
+        end = pairs[-1].key
+    return result.Success(pairs)
+
+
+async def record_drain(
+    store: client.StoreClient, drain: Drain
+) -> client.StoreResult[DrainEntry]:
+    """Add an entry to the audit trail before a drain is carried out.
+
+    Recording a drain again has no further effect.
+
+    Returns
+    -------
+    Result
+        The entry; or ``Undetermined`` if it may have been written; or
+        another error, after which it is certainly not in the trail.
+    """
+    made_at = _now()
+    lost: errors.StoreError | None = None
+    for attempt in range(DRAIN_ATTEMPTS):
+        try:
+            recorded = await _record_drain(store, drain, made_at)
+        except MalformedValue as malformed:
+            recorded = result.Failure(malformed)
+        if isinstance(recorded, result.Success):
+            return recorded
+        error = recorded.failure()
+        if isinstance(error, errors.Undetermined):
+            # The read of the next attempt finds the entry if it is there.
+            lost = error
+        elif not isinstance(error, _NumberTaken):
+            break
+        await store.back_off(attempt)
+    return result.Failure(lost or error)
+
+
+class _NumberTaken(errors.Unavailable):
+    """Other operators' entries were written at the same moment."""
+
+
+async def _record_drain(
+    store: client.StoreClient, drain: Drain, made_at: str
+) -> client.StoreResult[DrainEntry]:
+    read = await _read_drains(store)
+    if not isinstance(read, result.Success):
+        return result.Failure(read.failure())
+    view = read.unwrap()
+    for entry in view.recent:
+        if entry.drain_id == drain.drain_id:
+            return result.Success(entry)
+    stored = _Drain(view.number, view.version, *drain, made_at=made_at)
+    value = msgspec.json.encode(stored)
+    if len(value) > MAX_DRAIN_BYTES:
+        reason = f"{len(value)} bytes exceed {MAX_DRAIN_BYTES}"
+        return result.Failure(errors.Rejected("check", "drain", reason))
+    key = drain_key(view.number)
+    answer = await store.txn(
+        (_is_absent(key),),
+        (
+            messages.Put(key, value),
+            *(messages.DeleteRange(expired) for expired in view.expired),
+        ),
+    )
+    if not isinstance(answer, result.Success):
+        return result.Failure(answer.failure())
+    if not answer.unwrap().succeeded:
+        reason = "other operators' entries were written"
+        return result.Failure(_NumberTaken("record", "store", reason))
+    return result.Success(stored.to_entry())
+
+
+async def _read_drains(
+    store: client.StoreClient,
+) -> client.StoreResult[_DrainView]:
+    end = messages.prefix_end(DRAIN_PREFIX)
+    audit_end = messages.prefix_end(AUDIT_PREFIX)
+    answer = await store.txn(
+        (),
+        (
+            messages.Range(DRAIN_PREFIX, end, RECENT_DRAINS, False, True),
+            messages.Range(DRAIN_PREFIX, end, EXPIRED_PER_CHANGE, True),
+            messages.Range(AUDIT_PREFIX, audit_end, 1, True, True),
+        ),
+    )
+    return answer.map(_drain_view)
+
+
+def _drain_view(answer: messages.TxnAnswer) -> _DrainView:
+    recent = tuple(
+        _decode(pair, _Drain).to_entry() for pair in answer.pairs(0)
+    )
+    number = recent[0].number + 1 if recent else 1
+    bound = drain_key(max(0, number - MAX_AUDIT_ENTRIES))
+    latest = [audit_version(pair.key) for pair in answer.pairs(2)]
+    return _DrainView(
+        recent,
+        latest[0] if latest else 0,
+        number,
+        tuple(p.key for p in answer.pairs(1) if p.key <= bound),
+    )
 
 
 # Reading
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -112,7 +112,7 @@
     shown = json.loads(run(f"show {STORE} --json")[1])
     assert len(shown["inventory"]["services"]) == 4
     code, output, _ = run(f"history {STORE} --json")
-    (entry,) = json.loads(output)["changes"]
+    (entry,) = json.loads(output)["entries"]
     assert (entry["author"], entry["reason"]) == ("ann", "first")
     code, output, _ = run(f"change {entry['change_id']} {STORE}")
     assert (code, "was accepted as 1" in output) == (0, True)
@@ -218,7 +218,9 @@
         pytest.param(f"show {STORE}", id="show"),
         pytest.param(f"history {STORE}", id="history"),
         pytest.param(f"fleet {NODE}", id="fleet"),
-        pytest.param(f"drain bookings-1 {NODE}", id="drain"),
+        pytest.param(
+            f"drain bookings-1 --reason x {NODE} {STORE}", id="drain"
+        ),
         pytest.param(f"why r1 {NODE}", id="why"),
     ],
 )
@@ -281,19 +283,84 @@
     assert run(f"endpoint none-1 {NODE}")[0] == 1
 
 
+DRAIN = f"drain bookings-1 {NODE} {STORE} --reason rack --author ann"
+
+
+def history(run):
+    return json.loads(run(f"history {STORE} --json")[1])["entries"]
+
+
 def test_drain_and_undrain(run, node):
-    code, output, _ = run(f"drain bookings-1 {NODE}")
+    code, output, _ = run(DRAIN)
     assert (code, "is leaving" in output) == (0, True)
-    assert run(f"undrain bookings-1 {NODE}")[0] == 0
+    assert "entry 1 of drains" in output
+    assert run(f"un{DRAIN}")[0] == 0
     assert node.state["state"] == "ready"
+    undrain, drain = history(run)
+    assert (drain["action"], undrain["action"]) == ("drain", "undrain")
+    assert (drain["author"], drain["reason"]) == ("ann", "rack")
+    assert "drain of bookings-1" in run(f"history {STORE}")[1]
 
 
-def test_drain_at_another_node_is_refused(run, node):
+@pytest.mark.parametrize(
+    ("arguments", "code", "expected"),
+    [
+        pytest.param(
+            f"drain sales-1 {NODE} {STORE} --reason x",
+            1,
+            "serves 'bookings-1', not 'sales-1'",
+            id="other node",
+        ),
+        pytest.param(
+            f"drain bookings-1 {NODE} {STORE}", 2, "reason", id="no reason"
+        ),
+        pytest.param(
+            f"drain bookings-1 {NODE} --reason x", 2, "store", id="no store"
+        ),
+        pytest.param(
+            f"{DRAIN} --unrecorded --author {'x' * 20_000}",
+            1,
+            "exceed",
+            id="entry too large",
+        ),
+    ],
+)
+def test_refused_drain(run, store, node, arguments, code, expected):
     """A drain sent to the wrong node must not drain that node."""
-    code, _, errors = run(f"drain sales-1 {NODE}")
-    assert code == 1
-    assert "serves 'bookings-1', not 'sales-1'" in errors
+    found, output, errors = run(arguments)
+    assert (found, output, expected in errors) == (code, "", True)
+    assert node.state["state"] == "ready"
+    assert store.is_empty
+
+
+@pytest.mark.parametrize(
+    ("faults", "code", "expected"),
+    [
+        pytest.param({"down": "503"}, 4, "is not in the", id="store down"),
+        pytest.param({"hold_writes": 99}, 3, "may be in the", id="held"),
+    ],
+)
+def test_drain_while_the_store_is_away(
+    run, store, node, faults, code, expected
+):
+    """An operator must know when the trail does not tell of a drain."""
+    store.set_faults(**faults)
+    found, _, errors = run(DRAIN)
+    assert (found, expected in errors) == (code, True)
+    assert "--unrecorded" in errors
     assert node.state["state"] == "ready"
+    found, output, _ = run(f"{DRAIN} --unrecorded")
+    assert (found, expected in output) == (0, True)
+    assert node.state["state"] == "leaving"
+
+
+def test_recorded_drain_that_the_node_refuses(run, node):
+    """The entry is written before the node answers."""
+    node.drain_fault = "the node stops"
+    code, _, errors = run(f"un{DRAIN}")
+    assert (code, "the node stops" in errors) == (1, True)
+    assert "entry 1 of drains" in errors
+    assert history(run)[0]["action"] == "undrain"
 
 
 def test_why(run, node):
