Feed the metrics from the node's counters

Cause: 28 metrics were declared and the daemon raised none of the counters and histograms, so GET /metrics showed only gauges of the status. Ruled out: counting at each call, which costs time on its path; the counters that the parts have anyway are read when the metrics are asked for. Change: daemon/samples.py reads Entry, Owner, OutcomeRecords, SessionPool, DropLog, Gossip, Relaying and the membership. Removed, since nothing counts them: request_seconds, truncated_answers_total, keys_issued_total, sessions_closed_total, and the labels class and service of the counters. refusals_total and unknown_outcomes_total become problems_total by reason, because the entry side counts both in one table. Also: a node whose free UDP port had its TCP twin in use ended with an error of zmq and a traceback; it was seen when the new test ran on a busy machine. The port is now chosen so that both are free, and a port in use is reported as start_failed.

--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -49,6 +49,9 @@
 LEAVING_NOTICE_MS = 500
 """Time for the gossip to spread that the node leaves, before it ends."""
 
+BIND_ATTEMPTS = 10
+"""Free UDP ports tried until one is free for TCP too."""
+
 State = member_records.MemberState
 
 
@@ -67,7 +70,7 @@
     ) -> None:
         self.settings = settings
         self.incarnation = secrets.randbits(INCARNATION_BITS)
-        self.metrics = node_metrics.NodeMetrics()
+        self.status_reporter = status.StatusReporter(self)
         self.decisions = trail.DecisionTrail()
         self.drop_log = drops.DropLog()
         self.is_draining = False
@@ -99,8 +102,7 @@
             "backend": http_server.bind(settings.backend.listen),
             "operators": http_server.bind(settings.operators.listen),
         }
-        # zmq listens on the TCP port whose UDP twin has the gossip.
-        gossip_socket = await gossip_module.bind(settings.nodes.listen)
+        gossip_socket = await _bind_gossip(settings.nodes.listen)
         return cls(settings, listeners, gossip_socket)
 
     @property
@@ -326,7 +328,7 @@
                 self.onward_app, self.backend.on_announcement
             ),
             "operators": admin.AdminApplication(
-                status.StatusReporter(self), self.metrics
+                self.status_reporter, node_metrics.NodeMetrics()
             ),
         }
 
@@ -395,3 +397,26 @@
     def _is_ready(self) -> bool:
         is_backend_ready = self.backend.state is backend.BackendState.READY
         return is_backend_ready and self.endpoint_spec is not None
+
+
+async def _bind_gossip(address: str) -> anyio.abc.UDPSocket:
+    """Bind the gossip to a UDP port whose TCP twin is free for zmq.
+
+    Raises
+    ------
+    OSError
+        If the address, or with port 0 every port tried, is in use.
+    """
+    _, _, port = address.rpartition(":")
+    attempts = BIND_ATTEMPTS if port == "0" else 1
+    for attempt in range(attempts):
+        opened = await gossip_module.bind(address)
+        try:
+            http_server.bind(gossip_module.address_of(opened)).close()
+        except OSError:
+            await opened.aclose()
+            if attempt + 1 == attempts:
+                raise
+        else:
+            break
+    return opened
--- a/src/clementinekeel/daemon/status.py
+++ b/src/clementinekeel/daemon/status.py
@@ -1,11 +1,13 @@
 """What the node reports to operators; implements ``operators.status``."""
 
 import collections
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from returns import result
 
 from clementinekeel import _version
+from clementinekeel.daemon import samples
 from clementinekeel.membership import records as member_records
 from clementinekeel.operators import status as node_status
 
@@ -57,6 +59,10 @@
             "counters": self._counters(),
         }
 
+    def samples(self) -> Iterator[node_status.Sample]:
+        """Return the values of all metrics."""
+        return samples.read(self._node)
+
     def fleet(self) -> node_status.Fleet:
         """Return the endpoints that the node knows."""
         membership = self._node.membership
--- a/src/clementinekeel/operators/admin.py
+++ b/src/clementinekeel/operators/admin.py
@@ -151,7 +151,7 @@
         return _json(self._node.status())
 
     async def _on_metrics(self, call: _Call) -> _Reply:
-        self._metrics.update(self._node.status())
+        self._metrics.update(self._node.samples())
         body, headers = self._metrics.render()
         return _Reply(200, headers, body)
 
--- a/src/clementinekeel/operators/metrics.py
+++ b/src/clementinekeel/operators/metrics.py
@@ -4,7 +4,7 @@
 generated page ``docs/metrics.md`` use it.
 """
 
-import collections
+from collections.abc import Iterable
 import enum
 from typing import Any, NamedTuple
 
@@ -12,7 +12,6 @@
 from aioprometheus import renderer
 
 from clementinekeel.operators import status as node_status
-from clementinekeel.runtime import invariants
 
 PREFIX = "clementinekeel_"
 
@@ -22,7 +21,6 @@
 
     COUNTER = "counter"
     GAUGE = "gauge"
-    HISTOGRAM = "histogram"
 
 
 class Metric(NamedTuple):
@@ -36,7 +34,6 @@
 
 _COUNTER = MetricKind.COUNTER
 _GAUGE = MetricKind.GAUGE
-_HISTOGRAM = MetricKind.HISTOGRAM
 
 METRICS = (
     Metric(
@@ -46,84 +43,97 @@
         "Always 1; the labels tell which version runs where.",
     ),
     Metric(
-        "requests_total",
-        _COUNTER,
-        ("request_class", "outcome"),
-        "Requests of callers that ended, by class and outcome.",
-    ),
-    Metric(
-        "request_seconds",
-        _HISTOGRAM,
-        ("request_class",),
-        "Time from a caller's request to the end of its answer.",
+        "state",
+        _GAUGE,
+        ("state",),
+        "1 for the state of the node, 0 for the others.",
     ),
     Metric(
-        "refusals_total",
+        "requests_total",
         _COUNTER,
-        ("request_class", "reason"),
-        "Requests refused as not run, by class and reason.",
+        ("outcome",),
+        "Requests of callers that ended at this node, by outcome.",
     ),
     Metric(
-        "unknown_outcomes_total",
+        "problems_total",
         _COUNTER,
         ("reason",),
-        "Requests whose outcome is unknown, by reason.",
+        "Requests of callers that ended without a backend server's answer.",
     ),
     Metric(
         "attempts_total",
         _COUNTER,
-        ("service",),
-        "First attempts to call a service.",
+        (),
+        "Calls sent to endpoints for requests of callers, retries included.",
     ),
     Metric(
         "retries_total",
         _COUNTER,
-        ("service",),
-        "Further attempts to call a service.",
+        (),
+        "Further attempts of requests of callers.",
+    ),
+    Metric(
+        "calls_received_total",
+        _COUNTER,
+        (),
+        "Calls of nodes to this endpoint.",
     ),
     Metric(
-        "truncated_answers_total",
+        "calls_repeated_total",
         _COUNTER,
         (),
-        "Answers that ended before they were complete.",
+        "Calls whose key had been seen before.",
     ),
     Metric(
-        "keys_issued_total",
+        "calls_ended_total",
         _COUNTER,
-        ("service",),
-        "Idempotency keys issued.",
+        ("outcome",),
+        "Calls to this endpoint that ended, without repeated ones.",
     ),
-    Metric("records", _GAUGE, (), "Records of issued keys in memory."),
     Metric("slots", _GAUGE, (), "Slots of the endpoint in the inventory."),
     Metric("limit", _GAUGE, (), "Concurrency limit in force."),
     Metric("running", _GAUGE, (), "Requests at the backend server."),
     Metric("queued", _GAUGE, (), "Requests that wait for a slot."),
     Metric("level", _GAUGE, (), "Least important rank that is admitted."),
+    Metric("records", _GAUGE, (), "Records of issued keys in memory."),
     Metric(
-        "state",
+        "records_running",
         _GAUGE,
-        ("state",),
-        "1 for the state of the node, 0 for the others.",
+        (),
+        "Records of keys whose request runs or waits.",
     ),
-    Metric("sessions", _GAUGE, (), "Open sessions with other nodes."),
     Metric(
-        "sessions_closed_total",
+        "records_evicted_total",
         _COUNTER,
-        ("reason",),
-        "Sessions with other nodes that were closed.",
+        (),
+        "Records evicted for lack of room.",
+    ),
+    Metric(
+        "kept_answers", _GAUGE, (), "Answers kept for callers that ask again."
+    ),
+    Metric("kept_answers_bytes", _GAUGE, (), "Size of the kept answers."),
+    Metric(
+        "sessions",
+        _GAUGE,
+        ("side",),
+        "Sessions with other nodes, by this node's side of them.",
     ),
     Metric(
         "messages_dropped_total",
         _COUNTER,
-        ("reason",),
+        ("channel", "reason"),
         "Messages of other nodes that were dropped.",
     ),
     Metric(
-        "control_bytes_total",
+        "gossip_messages_total", _COUNTER, ("direction",), "Gossip datagrams."
+    ),
+    Metric(
+        "gossip_bytes_total",
         _COUNTER,
         ("direction",),
-        "Bytes of control messages between nodes.",
+        "Bytes of gossip datagrams.",
     ),
+    Metric("store_calls_total", _COUNTER, (), "Calls to the store."),
     Metric(
         "members",
         _GAUGE,
@@ -150,16 +160,10 @@
         "Newest version that the node has heard of.",
     ),
     Metric(
-        "configuration_faults_total",
-        _COUNTER,
+        "configuration_fault",
+        _GAUGE,
         (),
-        "Accepted versions that the node could not use.",
-    ),
-    Metric(
-        "store_calls_total",
-        _COUNTER,
-        ("operation", "outcome"),
-        "Calls to the store; only relays make any.",
+        "1 while the newest accepted version cannot be used here.",
     ),
     Metric(
         "invariant_violations_total",
@@ -169,28 +173,12 @@
     ),
 )
 
-_STATES = ("joining", "ready", "leaving", "left")
-_STATUS_GAUGES = (
-    "records",
-    "slots",
-    "limit",
-    "running",
-    "queued",
-    "level",
-    "sessions",
-    "configuration_version",
-)
 _COLLECTORS: dict[MetricKind, Any] = {
     _COUNTER: collectors.Counter,
     _GAUGE: collectors.Gauge,
-    _HISTOGRAM: collectors.Histogram,
 }
 
 
-_Series = tuple[str, tuple[tuple[str, str], ...]]
-"""Metric and labels."""
-
-
 class NodeMetrics:
     """Metrics of one process, in a registry of their own."""
 
@@ -203,92 +191,34 @@
             )
             for metric in METRICS
         }
-        self._pending: collections.Counter[_Series] = collections.Counter()
 
-    def add(self, name: str, amount: int = 1, **labels: str) -> None:
-        """Raise a counter.
+    def update(self, samples: Iterable[node_status.Sample]) -> None:
+        """Set all metrics.
 
         Raises
         ------
         LookupError
-            If the metric is unknown or has other labels.
-        ValueError
-            If the amount is negative.
+            If a metric is unknown or has other labels.
         """
-        if amount < 0:
-            raise ValueError(f"{name} cannot fall")
-        series = (name, tuple(labels.items()))
-        if series not in self._pending:
-            self._collector(name, labels)
-        # A collector encodes its labels as JSON at each use, which takes
-        # too long for every call; they get the sums when they are read.
-        self._pending[series] += amount
-
-    def set(self, name: str, value: float, **labels: str) -> None:
-        """Set a gauge; raises as ``add`` does."""
-        self._collector(name, labels).set(labels, value)
-
-    def observe(self, name: str, value: float, **labels: str) -> None:
-        """Add a value to a histogram; raises as ``add`` does."""
-        self._collector(name, labels).observe(labels, value)
-
-    def totals(self) -> dict[str, int]:
-        """Return the counters, each summed over its labels."""
-        self._flush()
-        return {
-            metric.name: int(
-                sum(v for _, v in self._collectors[metric.name].get_all())
-            )
-            for metric in METRICS
-            if metric.kind == _COUNTER
-        }
-
-    def update(self, status: node_status.Status) -> None:
-        """Set the gauges from the state of the node."""
-        values: dict[str, Any] = {**status}
-        for name in _STATUS_GAUGES:
-            self.set(name, values[name])
-        self.set("configuration_newest_version", status["newest_version"])
-        self.set("unreachable_zones", len(status["unreachable_zones"]))
-        self.set("relay", int(status["node"] in status["relays"]))
-        for state in _STATES:
-            self.set("state", int(state == status["state"]), state=state)
-        self.set(
-            "build_info",
-            1,
-            version=status["version"],
-            node=status["node"],
-            zone=status["zone"],
-        )
-        self._update_members(status["members"])
-        for name, count in invariants.violations.items():
-            collector = self._collectors["invariant_violations_total"]
-            collector.set({"invariant": name}, count)
+        self._clear_gauges()
+        for name, value, labels in samples:
+            metric = self._metrics[name]
+            if sorted(labels) != sorted(metric.labels):
+                raise LookupError(f"labels of {name} are {metric.labels}")
+            self._collectors[name].set(dict(labels), value)
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the text format, with their headers."""
-        self._flush()
         content, headers = renderer.render(self.registry, [])
         return content, headers
 
-    def _collector(self, name: str, labels: dict[str, str]) -> Any:
-        metric = self._metrics[name]
-        if tuple(sorted(labels)) != tuple(sorted(metric.labels)):
-            raise LookupError(f"labels of {name} are {metric.labels}")
-        return self._collectors[name]
-
-    def _flush(self) -> None:
-        for (name, labels), amount in self._pending.items():
-            self._collectors[name].add(dict(labels), amount)
-        self._pending.clear()
-
-    def _update_members(self, counts: list[node_status.MemberCount]) -> None:
-        # Zones and states that are gone would keep their last value.
-        for labels, _ in self._collectors["members"].get_all():
-            self.set("members", 0, **labels)
-        for item in counts:
-            labels = {"zone": item["zone"], "state": item["state"]}
-            self.set("members", item["members"], **labels)
+    def _clear_gauges(self) -> None:
+        # A series that has no value any more, for example a zone that is
+        # gone, would keep its last one.
+        for metric in METRICS:
+            if metric.kind is _GAUGE:
+                for labels, _ in self._collectors[metric.name].get_all():
+                    self._collectors[metric.name].set(labels, 0)
 
 
 def reference() -> str:
@@ -297,9 +227,10 @@
         "# Metrics of a node",
         "",
         "Generated from `clementinekeel.operators.metrics`; do not edit.",
-        "`GET /metrics` at the operators' port returns them. Gauges are read"
-        " at the time of the request. A counter or histogram appears with its"
-        " first event.",
+        "`GET /metrics` at the operators' port returns them, read at the time"
+        " of the request. A series with a label that is not known in advance"
+        " appears with its first event. Counters begin at 0 with each start"
+        " of the node.",
         "",
         "| metric | type | labels | help |",
         "|---|---|---|---|",
--- a/src/clementinekeel/operators/status.py
+++ b/src/clementinekeel/operators/status.py
@@ -1,6 +1,7 @@
 """What a node reports to operators."""
 
-from typing import Protocol, TypedDict
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple, Protocol, TypedDict
 
 from returns import result
 
@@ -92,12 +93,23 @@
     steps: list[RequestStep]
 
 
+class Sample(NamedTuple):
+    """Value of a metric at one moment; ``name`` as in ``METRICS``."""
+
+    name: str
+    value: float
+    labels: Mapping[str, str] = {}
+
+
 class NodeStatus(Protocol):
     """What the admin API needs from the daemon."""
 
     def status(self) -> Status:
         """Return the state of the node."""
 
+    def samples(self) -> Iterable[Sample]:
+        """Return the values of all metrics."""
+
     def fleet(self) -> Fleet:
         """Return the endpoints that the node knows."""
 
--- a/tests/operators/fakes.py
+++ b/tests/operators/fakes.py
@@ -11,6 +11,7 @@
 from clementinekeel.operators import admin
 from clementinekeel.operators import metrics
 from clementinekeel.operators import node_client
+from clementinekeel.operators import status as node_status
 from clementinekeel.operators import store_access
 from clementinekeel.operators.cli import _command
 from clementinekeel.platform import changes
@@ -125,12 +126,19 @@
             make_endpoint("sales-1", 4, "z2"),
         ]
         self.reports = {}
+        self.members = {"z1": 4}
         self.drain_fault = ""
         self.is_down = False
 
     def status(self):
         return self.state
 
+    def samples(self):
+        for zone, members in self.members.items():
+            labels = {"zone": zone, "state": "ready"}
+            yield node_status.Sample("members", members, labels)
+        yield node_status.Sample("limit", self.state["limit"])
+
     def fleet(self):
         return {
             "node": self.state["node"],
