--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -1,7 +1,6 @@
 """The node: its parts and how they are connected."""
 
 from collections.abc import Callable, Coroutine
-import errno
 import random as random_module
 import secrets
 import socket
@@ -47,9 +46,10 @@
 INCARNATION_BITS = 63
 MAX_SOCKETS = 16_384
 """Sessions use two sockets each; the default of zmq is 1,023."""
-BIND_ATTEMPTS = 10
 LEAVING_NOTICE_MS = 500
 """Time for the gossip to spread that the node leaves, before it ends."""
+BIND_ATTEMPTS = 10
+"""Free UDP ports tried until one is free for TCP too."""
 
 State = member_records.MemberState
 
@@ -69,7 +69,7 @@
     ) -> None:
         self.settings = settings
         self.incarnation = secrets.randbits(INCARNATION_BITS)
-        self.metrics = node_metrics.NodeMetrics()
+        self.status_reporter = status.StatusReporter(self)
         self.decisions = trail.DecisionTrail()
         self.drop_log = drops.DropLog()
         self.is_draining = False
@@ -332,7 +332,7 @@
                 self.onward_app, self.backend.on_announcement
             ),
             "operators": admin.AdminApplication(
-                status.StatusReporter(self), self.metrics
+                self.status_reporter, node_metrics.NodeMetrics()
             ),
         }
 
@@ -413,17 +413,23 @@
 
 
 async def _bind_gossip(address: str) -> anyio.abc.UDPSocket:
-    """Open the gossip's socket on a port that is free for zmq as well.
+    """Bind the gossip to a UDP port whose TCP twin is free for zmq.
 
-    zmq listens on the TCP port of the same number, which another process may
-    hold when the system has picked the UDP port.
+    Raises
+    ------
+    OSError
+        If the address, or with port 0 every port tried, is in use.
     """
-    for _ in range(BIND_ATTEMPTS):
-        gossip_socket = await gossip_module.bind(address)
+    _, _, port = address.rpartition(":")
+    attempts = BIND_ATTEMPTS if port == "0" else 1
+    for attempt in range(attempts):
+        opened = await gossip_module.bind(address)
         try:
-            http_server.bind(gossip_module.address_of(gossip_socket)).close()
+            http_server.bind(gossip_module.address_of(opened)).close()
         except OSError:
-            await gossip_socket.aclose()
+            await opened.aclose()
+            if attempt + 1 == attempts:
+                raise
         else:
-            return gossip_socket
-    raise OSError(errno.EADDRINUSE, f"{address}: TCP port is in use")
+            break
+    return opened
