Keep a stopping node reachable until its leaving is known

Cause: a node ended 0.5 s after it was idle, while other nodes may take 3 s to learn that it leaves. A settlement under a key issued before was told owner_unreachable, unknown, although it never ran.

Ruled out: telling 'not run' without the owner, which alone knows.

Change: the node refuses new work for 3 s after it is idle, then ends.

--- a/src/clementinekeel/daemon/node.py
+++ b/src/clementinekeel/daemon/node.py
@@ -48,8 +48,10 @@
 MAX_SOCKETS = 16_384
 """Sessions use two sockets each; the default of zmq is 1,023."""
 BIND_ATTEMPTS = 10
-LEAVING_NOTICE_MS = 500
-"""Time for the gossip to spread that the node leaves, before it ends."""
+LEAVING_NOTICE_MS = 3_000
+"""Time for the gossip to spread that the node leaves, before it ends. Requests
+sent until then, also under keys issued just before, are refused as not run;
+after it their callers would be told ``unknown``."""
 
 State = member_records.MemberState
 
