--- a/tests/daemon/test_samples.py
+++ b/tests/daemon/test_samples.py
@@ -6,34 +6,14 @@
 from clementinekeel.daemon import node as node_module
 from clementinekeel.operators import metrics
 from clementinekeel.runtime import invariants
-from clementinekeel.runtime import settings
-
-SETTINGS = """\
-[node]
-id = n1
-zone = z
-region = r
-[nodes]
-listen = 127.0.0.1:0
-keys = 00112233445566778899aabbccddeeff
-[callers]
-listen = 127.0.0.1:0
-[backend]
-listen = 127.0.0.1:0
-[platform]
-urls = http://127.0.0.1:1
-[operators]
-listen = 127.0.0.1:0
-"""
+from tests.daemon import daemon_settings
 
 pytestmark = pytest.mark.anyio
 
 
 @pytest.fixture
 async def node(tmp_path):
-    path = tmp_path / "node.ini"
-    path.write_text(SETTINGS)
-    loaded = settings.load(str(path)).unwrap()
+    loaded = daemon_settings.load(tmp_path)
     created = await node_module.Node.create(loaded)
     yield created
     # The sockets are closed by the tasks that own them.
