Add a tour of the operators' commands on a real fleet

Cause: the commands had only run against fakes. Ruled out: a test in the suite, since the fleet takes seconds to start and is polled on the real clock.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint types unit test demo bench clean
+.PHONY: setup format lint types unit test demo tour bench clean
 
 setup: $(VENV)/.ready
 
@@ -34,6 +34,9 @@
 demo: setup
 	$(BIN)/python -m examples.demo
 
+tour: setup
+	$(BIN)/python -m examples.operators_tour
+
 bench: setup
 	$(BIN)/python -m bench
 
