--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,60 @@
+"""The reference of the log events agrees with the source."""
+
+import ast
+import pathlib
+
+ROOT = pathlib.Path(__file__).parents[1]
+DEFAULT_LEVEL = "INFO"
+OPEN_FIELDS = "..."
+"""Stands for fields that the caller of a helper chooses."""
+
+
+def constant(node):
+    return node.value if isinstance(node, ast.Constant) else None
+
+
+def calls_of(tree, name):
+    return [
+        node
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Call) and ast.unparse(node.func) == name
+    ]
+
+
+def names_of(tree, call):
+    """Return the events of a call; a helper may pass their names on."""
+    name = constant(call.args[0])
+    if name is not None:
+        return [name]
+    (helper,) = [
+        node.name
+        for node in ast.walk(tree)
+        if isinstance(node, ast.FunctionDef) and call in ast.walk(node)
+    ]
+    return [constant(c.args[0]) for c in calls_of(tree, helper)]
+
+
+def events_of(tree):
+    for call in calls_of(tree, "log.event"):
+        keywords = {item.arg: item.value for item in call.keywords}
+        level = DEFAULT_LEVEL
+        if "level" in keywords:
+            level = constant(keywords.pop("level"))
+        fields = [name or OPEN_FIELDS for name in keywords]
+        for name in names_of(tree, call):
+            yield name, level, ", ".join(f"`{field}`" for field in fields)
+
+
+def test_reference_lists_all_events_and_fields():
+    """A new event or field must be described where operators look."""
+    found = set()
+    for path in (ROOT / "src").rglob("*.py"):
+        found |= set(events_of(ast.parse(path.read_text())))
+    listed = []
+    for line in (ROOT / "docs" / "events.md").read_text().splitlines():
+        if line.startswith("| `"):
+            name, level, fields, meaning = line.strip("| ").split(" | ")
+            assert meaning
+            listed.append((name.strip("`"), level, fields.strip()))
+    assert set(listed) == found
+    assert listed == sorted(listed)
