Choose a gossip port whose TCP twin is free

Cause: port 0 picks a UDP port; zmq then binds the same TCP port, which a connection may hold. Change: probe the TCP port and choose again. There is no test yet; a port taken between the probe and the bind still fails.

--- a/src/clementinekeel/nodes/gossip.py
+++ b/src/clementinekeel/nodes/gossip.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable, Iterable
+import socket as socket_module
 from typing import Any
 
 import anyio
@@ -40,7 +41,24 @@
 async def bind(address: str) -> anyio.abc.UDPSocket:
     """Return a UDP socket bound to ``ip:port``; port 0 picks a free one."""
     host, port = split_address(address)
-    return await anyio.create_udp_socket(local_host=host, local_port=port)
+    while True:
+        bound = await anyio.create_udp_socket(local_host=host, local_port=port)
+        if port or _is_tcp_free(bound):
+            return bound
+        await bound.aclose()
+
+
+def _is_tcp_free(bound: anyio.abc.UDPSocket) -> bool:
+    # zmq listens on the same TCP port, which a connection may have in use.
+    host = bound.extra(anyio.abc.SocketAttribute.local_address)[0]
+    port = bound.extra(anyio.abc.SocketAttribute.local_port)
+    family = bound.extra(anyio.abc.SocketAttribute.family)
+    with socket_module.socket(family) as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
 
 
 def address_of(socket: anyio.abc.UDPSocket) -> str:
