Lower the limit only where that raises useful work

Cause: the limiters fall while the service is slow, also when a lower limit does not make it faster: with service times of 4 x for its own reasons the limit fell to 1. Rank 0 was refused beside lesser ranks because a request without time to wait was refused without holding lesser ranks back, and the estimate (mean and three mean deviations) was below the p99 of skewed times.

Change: limiter hill_climb (new default; fixed, aimd, gradient stay) tries a step and keeps it if useful work per slot pays for it; service times count by rank. The p99 is estimated on a logarithmic scale. A refusal for want of a free slot at the rank's usual deadline holds back lesser ranks.

Mutations, each seen failing in tests/admission: keep every step (4 tests), reject every step (2), one normal time for all ranks (1), no hold on lesser ranks (1), 2 instead of 2.92 deviations (1).

--- a/src/clementinekeel/admission/_estimate.py
+++ b/src/clementinekeel/admission/_estimate.py
@@ -1,25 +1,52 @@
 """Estimates of service times from recent requests."""
 
+import math
+
 # Weight of one request: the estimate follows about the last ten.
 SAMPLE_WEIGHT = 0.1
-# Deviations added to the mean where a request has waited: the p99 of admitted
-# requests has to be within the deadline, and work that ends late is wasted.
-SAFETY_DEVIATIONS = 3.0
+# The spread relative to the mean changes less than the mean, and an error in
+# it moves the estimate of the p99 more.
+SPREAD_WEIGHT = 0.02
+# A jump of the mean is no spread: larger errors count as this many spreads.
+SPREAD_ERROR_MAX = 4.0
+SPREAD_FIRST = 0.25
+SPREAD_MIN = 0.01
+# The p99 of admitted requests has to be within the deadline, and work that
+# ends late is wasted. The p99 of a normal distribution is 2.33 standard
+# deviations or 2.92 mean deviations above its mean; service times are closer
+# to normal on a logarithmic scale.
+SAFETY_DEVIATIONS = 2.92
+# Bounds the estimate where a rank has few long and many short requests.
+PEAK_WEIGHT = 0.003
+TIME_MIN_MS = 0.1
 
 
 class _Average:
-    """Moving mean and mean deviation."""
+    """Moving mean, spread on a logarithmic scale, and recent maximum."""
 
-    __slots__ = ("deviation", "mean")
+    __slots__ = ("_log_mean", "_peak", "_spread", "mean")
 
     def __init__(self, first: float) -> None:
         self.mean = first
-        self.deviation = first / 4
+        self._log_mean = math.log(max(first, TIME_MIN_MS))
+        self._spread = SPREAD_FIRST
+        self._peak = first * 2
+
+    @property
+    def p99(self) -> float:
+        """Time within which 99 of 100 finish."""
+        log_p99 = self._log_mean + SAFETY_DEVIATIONS * self._spread
+        return max(self.mean, min(math.exp(log_p99), self._peak))
 
     def add(self, value: float) -> None:
-        error = value - self.mean
-        self.mean += SAMPLE_WEIGHT * error
-        self.deviation += SAMPLE_WEIGHT * (abs(error) - self.deviation)
+        self.mean += SAMPLE_WEIGHT * (value - self.mean)
+        error = math.log(max(value, TIME_MIN_MS)) - self._log_mean
+        self._log_mean += SAMPLE_WEIGHT * error
+        largest = SPREAD_ERROR_MAX * max(self._spread, SPREAD_MIN)
+        deviation = min(abs(error), largest)
+        self._spread += SPREAD_WEIGHT * (deviation - self._spread)
+        self._peak += PEAK_WEIGHT * (self.mean - self._peak)
+        self._peak = max(self._peak, value)
 
 
 class ServiceTimes:
@@ -64,4 +91,4 @@
         average = self._by_rank.get(rank) or self._overall
         if average is None:
             return 0.0
-        return average.mean + SAFETY_DEVIATIONS * average.deviation
+        return average.p99
--- a/src/clementinekeel/admission/controller.py
+++ b/src/clementinekeel/admission/controller.py
@@ -5,6 +5,7 @@
 from clementinekeel.admission import _estimate
 from clementinekeel.admission import _headroom
 from clementinekeel.admission import _level
+from clementinekeel.admission import _patience
 from clementinekeel.admission import _queue
 from clementinekeel.admission import limiters
 from clementinekeel.admission import messages
@@ -61,6 +62,7 @@
         factory = limiters.limiter.LIMITERS.get(limiter)
         self._limiter = factory(slots, objective, now_ms)
         self._service_times = _estimate.ServiceTimes()
+        self._patience = _patience.Patience()
         self._headroom = _headroom.Headroom()
         self._level = _level.LevelTracker(now_ms)
         self._queue = _queue.RankedQueue()
@@ -127,6 +129,7 @@
         invariants.check(is_new, "admission_stream_new", stream=offer.stream)
         if not is_new:
             return []
+        self._patience.add(offer, now_ms)
         decisions = self.expire(now_ms)
         decisions += self._decide(offer, now_ms)
         return self._checked(decisions)
@@ -157,7 +160,11 @@
         if rank is None:
             return []
         sample = limiters.limiter.Sample(
-            ok, service_ms, self.running + 1, self._is_limited(now_ms)
+            ok,
+            service_ms,
+            self.running + 1,
+            self._is_limited(now_ms),
+            rank,
         )
         self._held[rank] -= 1
         self._service_times.add(rank, ok, service_ms)
@@ -228,10 +235,17 @@
         if not self._trusts_estimate(now_ms):
             return self._enqueue(offer, now_ms)
         if now_ms + safe_ms >= offer.expires_ms:
-            # Too late without any wait: no lack of slots, so the deadline of
-            # one caller has no effect on the level.
+            # Too late without any wait: the deadline of one caller has no
+            # effect on the level. Where it is the usual one of the rank, the
+            # request would have run in a free slot, and no lesser one may
+            # take the next.
+            if self._patience.is_usual(offer, now_ms):
+                self._level.on_shed(offer.rank, now_ms)
             return [self._refuse(offer.stream, "deadline", now_ms)]
-        wait_ms = self._wait_ms(self._queue.ahead_of(offer) + 1, now_ms)
+        # Half the time between two releases for the next slot: where it
+        # takes longer, ``_drop_late`` refuses the request in time.
+        ahead = self._queue.ahead_of(offer) + 0.5
+        wait_ms = self._wait_ms(ahead, now_ms)
         if now_ms + wait_ms + safe_ms >= offer.expires_ms:
             return self._shed(offer.stream, offer.rank, "deadline", now_ms)
         return self._enqueue(offer, now_ms)
@@ -331,7 +345,7 @@
             need_ms = self._service_times.rank_mean_ms(offer.rank)
         return now_ms + need_ms >= offer.expires_ms
 
-    def _wait_ms(self, requests: int, now_ms: int) -> float:
+    def _wait_ms(self, requests: float, now_ms: int) -> float:
         return requests * self._service_times.mean_ms / self.limit(now_ms)
 
     def _trusts_estimate(self, now_ms: int) -> bool:
--- a/src/clementinekeel/admission/limiters/limiter.py
+++ b/src/clementinekeel/admission/limiters/limiter.py
@@ -18,12 +18,15 @@
         Requests that held a slot just before it finished.
     is_limited : bool
         Whether the limit was in use, so that raising it may help.
+    rank : int
+        Rank of the request, because ranks differ in their service times.
     """
 
     ok: bool
     service_ms: float
     running: int
     is_limited: bool
+    rank: int = 0
 
 
 class Limiter(Protocol):
--- a/src/clementinekeel/runtime/settings.py
+++ b/src/clementinekeel/runtime/settings.py
@@ -344,7 +344,7 @@
         "policies",
         "limiter",
         ini.NAME,
-        "gradient",
+        "hill_climb",
         "",
         "Concurrency limiter of the admission.",
     ),
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -1,7 +1,10 @@
 """Admission never exceeds the limit and sheds in the order of the ranks."""
 
+import random
+
 import pytest
 
+from clementinekeel.admission import _estimate
 from clementinekeel.admission import controller
 from clementinekeel.admission import messages
 from clementinekeel.configuration import model
@@ -249,3 +252,31 @@
         control.release(next(iter(control._running)), 800, True, 50.0)
     assert control.level(900).rank == level.rank
     assert control.level(10_000).rank == messages.ANY_RANK
+
+
+def test_booking_without_time_to_wait_holds_back_lookups():
+    """A lookup must not take the slot that a refused booking lacked.
+
+    When the service is so slow that nothing has time to wait, the next free
+    slot would go to whichever request arrives first.
+    """
+    control = make(slots=1)
+    learn(control, 200.0)
+    for stream in range(100, 400):
+        offer(control, stream, rank=0, now=0, expires=210)
+    running = next(iter(control._running))
+    control.release(running, 100, True, 200.0)
+    decisions = offer(control, 400, rank=3, now=100, expires=1_000)
+    assert refused(decisions) == {400: "overload"}
+
+
+def test_p99_of_slow_requests_is_within_the_deadline():
+    """Service times are skewed: the mean deviation hides the slow ones."""
+    times = _estimate.ServiceTimes()
+    source = random.Random(7)
+    values = [200 * source.lognormvariate(-0.08, 0.4) for _ in range(5_000)]
+    late = 0
+    for number, value in enumerate(values):
+        late += number >= 500 and value > times.safe_ms(0)
+        times.add(0, True, value)
+    assert late <= 0.015 * len(values)
--- a/tests/admission/test_limiters.py
+++ b/tests/admission/test_limiters.py
@@ -1,5 +1,8 @@
 """Limiters fall when the backend server slows down, and come back."""
 
+import heapq
+import random
+
 import pytest
 
 from clementinekeel.admission.limiters import limiter
@@ -66,3 +69,71 @@
     assert entry.limit == 10
     entry.set_slots(30)
     assert entry.limit == 30
+
+
+def simulate(entry, start_ms, duration_ms, service_ms):
+    """Keep the limit in use; the service time depends on concurrency."""
+    source = random.Random(7)
+    ends = []
+    for now_ms in range(start_ms, start_ms + duration_ms):
+        while ends and ends[0][0] <= now_ms:
+            _, took_ms = heapq.heappop(ends)
+            sample = limiter.Sample(True, took_ms, len(ends) + 1, True)
+            entry.on_finished(sample, now_ms)
+        while len(ends) < int(entry.limit):
+            factor = source.lognormvariate(-0.08, 0.4)
+            took_ms = factor * service_ms(len(ends) + 1)
+            heapq.heappush(ends, (now_ms + max(1, round(took_ms)), took_ms))
+    return start_ms + duration_ms
+
+
+@pytest.mark.parametrize("objective", model.Objective)
+def test_constant_slowness_keeps_the_slots(objective):
+    """A lower limit only costs goodput if it doesn't speed the service up."""
+    entry = limiter.LIMITERS.get("hill_climb")(20, objective, 0)
+    now_ms = simulate(entry, 0, 5_000, lambda running: 50.0)
+    limits = []
+    for _ in range(60):
+        now_ms = simulate(entry, now_ms, 1_000, lambda running: 200.0)
+        limits.append(entry.limit)
+    assert sum(limits) / len(limits) >= 0.95 * 20
+
+
+@pytest.mark.parametrize("objective", model.Objective)
+def test_thrashing_lowers_the_limit_and_its_end_restores_it(objective):
+    """Above the knee more concurrency only makes each request slower."""
+    entry = limiter.LIMITERS.get("hill_climb")(20, objective, 0)
+    now_ms = 5_000
+    simulate(entry, 0, now_ms, lambda running: 50.0)
+    now_ms = simulate(
+        entry, now_ms, 20_000, lambda running: 50.0 * max(1, running / 4)
+    )
+    assert 4 <= entry.limit <= 10
+    simulate(entry, now_ms, 3_000, lambda running: 50.0)
+    assert entry.limit == 20
+
+
+def test_long_requests_among_short_ones_are_not_slowness():
+    """A recording takes 50 times as long as a lookup, and is no overload."""
+    entry = make("hill_climb")
+    source = random.Random(7)
+    now_ms = 0
+    for _ in range(5_000):
+        now_ms += 10
+        rank = 0 if source.random() < 0.1 else 2
+        service_ms = 500.0 if rank == 0 else 10.0
+        entry.on_finished(
+            limiter.Sample(True, service_ms, 50, True, rank), now_ms
+        )
+        assert entry.limit == SLOTS
+
+
+def test_failures_lower_the_limit_and_their_end_restores_it():
+    """A backend server that fails every call gets fewer of them."""
+    entry = make("hill_climb")
+    now_ms = drive(entry, 50.0, 20)
+    now_ms = drive(entry, 1.0, 200, now_ms, ok=False)
+    assert entry.limit < SLOTS / 3
+    # A trial that is under way ends first.
+    drive(entry, 50.0, 60, now_ms)
+    assert entry.limit == SLOTS
