Keep failures of onward calls out of the limiter; default to fixed

The front and middle services answer 502 when an onward call is refused, and their nodes took each as a sign of their own overload and lowered the limit. Change: an answer that reports a failure counts as served for the limiter, unless it is 503. The default limiter is fixed. Conclusion: fixed with the inventory's slots is the default until the loss of hill_climb on a chain is understood.

--- a/src/clementinekeel/daemon/owner.py
+++ b/src/clementinekeel/daemon/owner.py
@@ -13,6 +13,7 @@
 
 from clementinekeel.admission import controller
 from clementinekeel.admission import messages as admission
+from clementinekeel.backends import connection
 from clementinekeel.backends import errors as backend_errors
 from clementinekeel.backends import pool
 from clementinekeel.daemon import backend
@@ -34,6 +35,8 @@
 _HINTED = frozenset({"backend_shed", "deadline"})
 """Reasons that will hold for a while; after others, another endpoint can be
 tried at once."""
+BACKEND_OVERLOADED = "backend_overloaded"
+OVERLOADED_STATUS = 503
 KEPT_HEADERS_BYTES = 4 * 1024
 RESEND_INTERVAL_MS = 100
 RESENDS = 10
@@ -442,7 +445,7 @@
             return Result(Outcome.REFUSED, "backend_shed", "serve", "", None)
         failed = serving.is_failure(head)
         outcome = Outcome.FAILED if failed else Outcome.COMPLETED
-        reason = "backend_failed" if failed else ""
+        reason = _failure_reason(head) if failed else ""
         kept: outcomes.KeptAnswer | None = None
         if isinstance(answer, serving.WholeAnswer):
             kept = outcomes.KeptAnswer(head.status, head.headers, answer.body)
@@ -553,7 +556,13 @@
     ) -> None:
         """Free the slot of a call that has ended."""
         assert self._admission is not None
-        is_ok = result.outcome is Outcome.COMPLETED
+        # A failed onward call makes this backend server answer with an
+        # error. That says nothing about its own load, and a lower limit
+        # would not help.
+        is_ok = result.outcome is Outcome.COMPLETED or (
+            result.outcome is Outcome.FAILED
+            and result.reason != BACKEND_OVERLOADED
+        )
         decisions = self._admission.release(
             served.number, clock.now_ms(), is_ok, service_ms
         )
@@ -748,6 +757,11 @@
             self._became_idle.set()
 
 
+def _failure_reason(head: connection.Head) -> str:
+    is_overloaded = head.status == OVERLOADED_STATUS
+    return BACKEND_OVERLOADED if is_overloaded else "backend_failed"
+
+
 async def _send_parts(stream: server.ServerStream, parts: list[bytes]) -> None:
     try:
         for part in parts:
--- a/src/clementinekeel/runtime/settings.py
+++ b/src/clementinekeel/runtime/settings.py
@@ -336,7 +336,7 @@
         "policies",
         "limiter",
         ini.NAME,
-        "hill_climb",
+        "fixed",
         "",
         "Concurrency limiter of the admission.",
     ),
