--- a/src/clementinekeel/admission/limiters/aimd.py
+++ b/src/clementinekeel/admission/limiters/aimd.py
@@ -1,5 +1,6 @@
 """Additive increase, multiplicative decrease."""
 
+from clementinekeel.admission.limiters import _bounded
 from clementinekeel.admission.limiters import _window
 from clementinekeel.admission.limiters import limiter
 from clementinekeel.configuration import model
@@ -18,29 +19,16 @@
 
 
 @limiter.LIMITERS.register("aimd")
-class AimdLimiter:
+class AimdLimiter(_bounded.BoundedLimit):
     """Raises the limit step by step and cuts it in an overloaded window."""
 
     def __init__(
         self, slots: int, objective: model.Objective, now_ms: int
     ) -> None:
-        self._slots = slots
-        self._limit = float(slots)
+        super().__init__(slots)
         self._decrease = DECREASE[objective]
         self._meter = _window.WindowMeter(now_ms)
 
-    @property
-    def limit(self) -> float:
-        """Present limit."""
-        return self._limit
-
-    def set_slots(self, slots: int) -> None:
-        """Change the upper bound of the limit."""
-        if self._limit >= self._slots:
-            self._limit = float(slots)
-        self._slots = slots
-        self._limit = min(self._limit, float(slots))
-
     def on_finished(self, sample: limiter.Sample, now_ms: int) -> None:
         """Adapt the limit at the end of each window."""
         window = self._meter.add(sample, now_ms)
--- a/src/clementinekeel/admission/limiters/gradient.py
+++ b/src/clementinekeel/admission/limiters/gradient.py
@@ -2,6 +2,7 @@
 
 import math
 
+from clementinekeel.admission.limiters import _bounded
 from clementinekeel.admission.limiters import _window
 from clementinekeel.admission.limiters import limiter
 from clementinekeel.configuration import model
@@ -23,30 +24,17 @@
 
 
 @limiter.LIMITERS.register("gradient")
-class GradientLimiter:
+class GradientLimiter(_bounded.BoundedLimit):
     """Lowers the limit in proportion to the slowdown."""
 
     def __init__(
         self, slots: int, objective: model.Objective, now_ms: int
     ) -> None:
-        self._slots = slots
-        self._limit = float(slots)
+        super().__init__(slots)
         self._tolerance = TOLERANCE[objective]
         self._fall_share = FALL_SHARE[objective]
         self._meter = _window.WindowMeter(now_ms)
 
-    @property
-    def limit(self) -> float:
-        """Present limit."""
-        return self._limit
-
-    def set_slots(self, slots: int) -> None:
-        """Change the upper bound of the limit."""
-        if self._limit >= self._slots:
-            self._limit = float(slots)
-        self._slots = slots
-        self._limit = min(self._limit, float(slots))
-
     def on_finished(self, sample: limiter.Sample, now_ms: int) -> None:
         """Adapt the limit at the end of each window."""
         window = self._meter.add(sample, now_ms)
--- a/src/clementinekeel/admission/limiters/hill_climb.py
+++ b/src/clementinekeel/admission/limiters/hill_climb.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+from clementinekeel.admission.limiters import _bounded
 from clementinekeel.admission.limiters import _slot_yield
 from clementinekeel.admission.limiters import limiter
 from clementinekeel.configuration import model
@@ -52,7 +53,7 @@
 
 
 @limiter.LIMITERS.register("hill_climb")
-class HillClimbLimiter:
+class HillClimbLimiter(_bounded.BoundedLimit):
     """Changes the limit while slow, and keeps a change that pays.
 
     A service that is slow for a reason of its own is equally slow at a lower
@@ -63,8 +64,7 @@
     def __init__(
         self, slots: int, objective: model.Objective, now_ms: int
     ) -> None:
-        self._slots = slots
-        self._limit = float(slots)
+        super().__init__(slots)
         self._tolerance = TOLERANCE[objective]
         self._meter = _slot_yield.YieldMeter(now_ms)
         self._trial: _Trial | None = None
@@ -73,18 +73,6 @@
         self._is_settled = False
         self._pause_end_ms = now_ms
 
-    @property
-    def limit(self) -> float:
-        """Present limit."""
-        return self._limit
-
-    def set_slots(self, slots: int) -> None:
-        """Change the upper bound of the limit."""
-        if self._limit >= self._slots:
-            self._limit = float(slots)
-        self._slots = slots
-        self._limit = min(self._limit, float(slots))
-
     def on_finished(self, sample: limiter.Sample, now_ms: int) -> None:
         """Adapt the limit at the end of a window or a trial."""
         if self._trial is not None:
