--- a/src/clementinekeel/daemon/entry.py
+++ b/src/clementinekeel/daemon/entry.py
@@ -11,6 +11,7 @@
 from clementinekeel.callers import messages as callers
 from clementinekeel.callers import problems
 from clementinekeel.configuration import model
+from clementinekeel.daemon import answers
 from clementinekeel.daemon import attempt
 from clementinekeel.daemon import contexts
 from clementinekeel.daemon import directory as directories
@@ -37,15 +38,6 @@
 allowance of the requests that made it."""
 MAX_UNREACHABLE = 5
 """Nodes tried in vain before the caller is told."""
-RETRY_MS = 500
-"""Hint for callers when the owner of a key cannot be reached."""
-
-_STATUS = {
-    Outcome.REFUSED: 503,
-    Outcome.FAILED: 502,
-    Outcome.UNKNOWN: 504,
-    Outcome.COMPLETED: 200,
-}
 
 
 class Policies(NamedTuple):
@@ -207,14 +199,14 @@
                 return found
             session = self._session(found.candidate)
             if not await attempt.connect(session, expires_ms):
-                return _owner_unreachable(found.candidate.node_id, key)
+                return answers.owner_unreachable(found.candidate.node_id, key)
             record = await _inquire(session, key, expires_ms)
             if record is None:
-                return _owner_unreachable(found.candidate.node_id, key)
+                return answers.owner_unreachable(found.candidate.node_id, key)
             if not record.moved:
                 return callers.KeyState(record.state, record.reason)
             key = record.moved
-        return _too_many_moves(key)
+        return answers.too_many_moves(key)
 
     async def _run_guarded(
         self, plan: plans.Plan
@@ -240,12 +232,12 @@
             )
             return callers.CallerProblem(
                 Outcome.UNKNOWN,
-                _STATUS[Outcome.UNKNOWN],
+                answers.STATUS[Outcome.UNKNOWN],
                 "internal_error",
                 "the node met an unexpected error",
                 "attempt",
                 "backend servers",
-                RETRY_MS,
+                answers.RETRY_MS,
                 plan.request.key,
             )
 
@@ -325,8 +317,8 @@
         if earlier is None or answer.outcome is not Outcome.REFUSED:
             return answer
         if isinstance(earlier, attempt.Answered):
-            return _caller_answer(earlier, progress.key)
-        return _final_problem(progress, earlier)
+            return answers.caller_answer(earlier, progress.key)
+        return answers.final_problem(progress.key, earlier)
 
     async def _next_target(
         self, progress: _Progress
@@ -337,7 +329,7 @@
                 plan.request.service, plan.rank, progress.exclude
             )
             if isinstance(choice, routing.NoTarget):
-                return _no_target(choice)
+                return answers.no_target(choice)
             return _Target(choice, "")
         if not progress.key:
             target = await self._new_target(
@@ -382,7 +374,7 @@
         for _ in range(MAX_UNREACHABLE):
             choice = self._choose(service, rank, tried)
             if isinstance(choice, routing.NoTarget):
-                return _no_target(choice)
+                return answers.no_target(choice)
             session = self._session(choice)
             is_open: bool | None = None
             try:
@@ -394,7 +386,9 @@
                 return _Target(choice, self._issue(choice, session))
             self._observe(choice, attempt.unreachable(session), 0)
             tried.add((choice.node_id, choice.incarnation))
-        return _no_target(routing.NoTarget("no_endpoint", RETRY_MS))
+        return answers.no_target(
+            routing.NoTarget("no_endpoint", answers.RETRY_MS)
+        )
 
     def _issue(
         self, candidate: routing.Candidate, session: node_session.Session
@@ -418,11 +412,11 @@
             )
         owner = self._directory.owner(parsed)
         if owner is None and not self._directory.is_lost(parsed):
-            return _owner_unreachable(parsed.node_id, key)
+            return answers.owner_unreachable(parsed.node_id, key)
         if owner is None:
             return callers.CallerProblem(
                 Outcome.UNKNOWN,
-                _STATUS[Outcome.UNKNOWN],
+                answers.STATUS[Outcome.UNKNOWN],
                 "owner_lost",
                 "the node that owned this key is gone",
                 "find owner",
@@ -530,7 +524,7 @@
         """Return what the caller gets, or None before the next attempt."""
         if isinstance(result, attempt.Answered):
             if result.answer.outcome is not Outcome.FAILED:
-                return _caller_answer(result, target.key)
+                return answers.caller_answer(result, target.key)
         elif isinstance(result, attempt.NotRun):
             if result.reason == "moved":
                 return _follow(progress, result)
@@ -548,10 +542,10 @@
         self, progress: _Progress, target: _Target, result: attempt.Result
     ) -> callers.CallerAnswer | callers.CallerProblem:
         if isinstance(result, attempt.Answered):
-            return _caller_answer(result, target.key)
+            return answers.caller_answer(result, target.key)
         if isinstance(result, attempt.NotRun) and result.moved:
             result = await self._end_chain(result)
-        return _final_problem(progress, result)
+        return answers.final_problem(progress.key, result)
 
     async def _end_chain(self, result: attempt.NotRun) -> attempt.NotRun:
         """Use up a successor key that is not tried.
@@ -711,20 +705,6 @@
     return result.answer.outcome, 0, can_repeat
 
 
-def _caller_answer(result: attempt.Answered, key: str) -> callers.CallerAnswer:
-    answer = result.answer
-    return callers.CallerAnswer(
-        answer.outcome,
-        answer.status,
-        answer.headers,
-        key,
-        # The first part of a long answer is also the first of the stream.
-        result.body if answer.last else b"",
-        answer.length,
-        None if answer.last else attempt.rest_of(result),
-    )
-
-
 def _follow(
     progress: _Progress, result: attempt.NotRun
 ) -> callers.CallerProblem | None:
@@ -732,7 +712,7 @@
     progress.moves += 1
     progress.key = result.moved
     if progress.moves > MAX_MOVES:
-        return _too_many_moves(result.moved)
+        return answers.too_many_moves(result.moved)
     return None
 
 
@@ -748,76 +728,9 @@
     progress.unreachable += 1
     if progress.plan.request.key or progress.moves:
         # An earlier attempt under this key may have reached the owner.
-        return _owner_unreachable(target.candidate.node_id, target.key)
+        return answers.owner_unreachable(target.candidate.node_id, target.key)
     if progress.unreachable > MAX_UNREACHABLE:
-        return _final_problem(progress, result)
+        return answers.final_problem(progress.key, result)
     # No caller has this key and nothing was sent under it.
     progress.key = ""
     return None
-
-
-def _no_target(choice: routing.NoTarget) -> callers.CallerProblem:
-    details = {
-        "unknown_service": "no endpoint of the service is known",
-        "no_endpoint": "no endpoint of the service can be reached",
-        "overload": "all endpoints refuse requests of this class at present",
-    }
-    return problems.refusal(
-        503,
-        choice.reason,
-        details.get(choice.reason, choice.reason),
-        step="route",
-        peer="backend servers",
-        retry_after_ms=choice.retry_after_ms,
-    )
-
-
-def _owner_unreachable(node_id: str, key: str) -> callers.CallerProblem:
-    return callers.CallerProblem(
-        Outcome.UNKNOWN,
-        _STATUS[Outcome.UNKNOWN],
-        "owner_unreachable",
-        "the owner of the key cannot be reached; ask again with the same key",
-        "connect",
-        node_id,
-        RETRY_MS,
-        key,
-    )
-
-
-def _too_many_moves(key: str) -> callers.CallerProblem:
-    return callers.CallerProblem(
-        Outcome.UNKNOWN,
-        _STATUS[Outcome.UNKNOWN],
-        "too_many_moves",
-        "the request was moved too often; ask again with this key",
-        "follow",
-        "backend servers",
-        RETRY_MS,
-        key,
-    )
-
-
-def _final_problem(
-    progress: _Progress, result: attempt.NotRun | attempt.MayHaveRun
-) -> callers.CallerProblem:
-    if isinstance(result, attempt.NotRun):
-        outcome = Outcome.REFUSED
-        retry_after_ms = result.retry_after_ms
-        if result.moved:
-            # The successor was not tried, but another copy of the request
-            # may have followed the record to it.
-            outcome = Outcome.UNKNOWN
-    else:
-        outcome = result.outcome
-        retry_after_ms = RETRY_MS
-    return callers.CallerProblem(
-        outcome,
-        _STATUS[outcome],
-        result.reason,
-        f"{result.reason.replace('_', ' ')} ({result.step})",
-        result.step,
-        result.peer,
-        retry_after_ms,
-        progress.key,
-    )
--- a/tests/daemon/test_long_answer.py
+++ b/tests/daemon/test_long_answer.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from clementinekeel.daemon import answers
 from clementinekeel.daemon import attempt
-from clementinekeel.daemon import entry
 from clementinekeel.nodes import messages
 from clementinekeel.nodes import session
 from clementinekeel.nodes import streams
@@ -48,5 +48,5 @@
     await outflow.finish()
     for chunk, body in sent:
         stream.inflow.on_chunk(chunk, body)
-    answer = entry._caller_answer(attempt.Answered(head, FIRST, stream), "")
+    answer = answers.caller_answer(attempt.Answered(head, FIRST, stream), "")
     assert await read(answer) == FIRST + SECOND
