--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 
 SCRIPTS = (
     "bench.added_latency",
+    "bench.failing_chain",
     "bench.outcomes",
     "bench.admission",
     "bench.routing",
