Use one summary of a window in all adaptive limiters

Cause: _slot_yield repeated the window type and its three constants from _window, so that a change of one would have missed the other. Ruled out: joining the drain and undrain commands further; what they share is in their base class, and the rest differs in words. Change: _slot_yield uses those of _window.

--- a/src/clementinekeel/admission/limiters/_slot_yield.py
+++ b/src/clementinekeel/admission/limiters/_slot_yield.py
@@ -1,13 +1,8 @@
 """Useful work of the slots, by requests of known size."""
 
-from typing import NamedTuple
-
+from clementinekeel.admission.limiters import _window
 from clementinekeel.admission.limiters import limiter
 
-WINDOW_MS = 100
-WINDOW_SAMPLES = 10
-# Slow services finish few requests; a window must still end.
-WINDOW_MAX_MS = 1_000
 # Time constants of the normal service time of a rank. Falling faster corrects
 # a value learnt while the service was slow; rising slowly keeps an overload of
 # a minute from becoming the normal state. They count time and not requests: at
@@ -24,24 +19,6 @@
 YIELD_SAMPLES = 200
 
 
-class Window(NamedTuple):
-    """Summary of a finished window.
-
-    Attributes
-    ----------
-    slowdown : float
-        Service time as a multiple of the normal one of each rank.
-    failed_share : float
-        Requests that failed, as a share of all.
-    is_limited : bool
-        Whether the limit was in use at any time.
-    """
-
-    slowdown: float
-    failed_share: float
-    is_limited: bool
-
-
 class _Totals:
     """Sums over samples."""
 
@@ -129,7 +106,7 @@
         recent = self._recent
         return recent.succeeded / max(recent.slowdown, 1e-3)
 
-    def recent(self) -> Window:
+    def recent(self) -> _window.Window:
         """Return the samples of the yield as a window."""
         return _summarize(self._recent)
 
@@ -137,7 +114,9 @@
         """Begin a new yield."""
         self._recent = _Totals()
 
-    def add(self, sample: limiter.Sample, now_ms: int) -> Window | None:
+    def add(
+        self, sample: limiter.Sample, now_ms: int
+    ) -> _window.Window | None:
         """Add a sample; return the window when this one completes it."""
         slowdown = self._slowdown(sample, now_ms)
         self._window.add(sample, slowdown)
@@ -163,14 +142,17 @@
 
     def _is_complete(self, now_ms: int) -> bool:
         age_ms = now_ms - self._window_start_ms
-        if age_ms >= WINDOW_MAX_MS:
+        if age_ms >= _window.WINDOW_MAX_MS:
             return True
-        return age_ms >= WINDOW_MS and self._window.samples >= WINDOW_SAMPLES
+        return (
+            age_ms >= _window.WINDOW_MS
+            and self._window.samples >= _window.WINDOW_SAMPLES
+        )
 
 
-def _summarize(totals: _Totals) -> Window:
+def _summarize(totals: _Totals) -> _window.Window:
     slowdown = 1.0
     if totals.succeeded:
         slowdown = totals.succeeded_slowdown / totals.succeeded
     failed = totals.samples - totals.succeeded
-    return Window(slowdown, failed / totals.samples, totals.is_limited)
+    return _window.Window(slowdown, failed / totals.samples, totals.is_limited)
--- a/src/clementinekeel/admission/limiters/_window.py
+++ b/src/clementinekeel/admission/limiters/_window.py
@@ -23,8 +23,7 @@
     Attributes
     ----------
     slowdown : float
-        Mean service time as a multiple of the normal one; 1 if no request
-        succeeded.
+        Service time as a multiple of the normal one.
     failed_share : float
         Requests that failed, as a share of all.
     is_limited : bool
--- a/src/clementinekeel/admission/limiters/hill_climb.py
+++ b/src/clementinekeel/admission/limiters/hill_climb.py
@@ -5,6 +5,7 @@
 
 from clementinekeel.admission.limiters import _bounded
 from clementinekeel.admission.limiters import _slot_yield
+from clementinekeel.admission.limiters import _window
 from clementinekeel.admission.limiters import limiter
 from clementinekeel.configuration import model
 
@@ -95,7 +96,7 @@
         # otherwise rise at once and exceed it again.
         return (1 + self._tolerance) / 2
 
-    def _is_suspect(self, window: _slot_yield.Window) -> bool:
+    def _is_suspect(self, window: _window.Window) -> bool:
         accepted = self._tolerance
         if self._limit < self._slots:
             accepted = self._normal_slowdown
