--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -73,6 +73,8 @@
         Identifies the request on this link.
     endpoint : str
         Backend server that is meant; another one must not run the request.
+    sent_ms : int
+        The sender's monotonic clock.
     budget_ms : int
         Time that is left until its caller stops waiting.
     rank : int
@@ -92,6 +94,7 @@
     stream: int
     endpoint: str
     request_id: str
+    sent_ms: int
     budget_ms: int
     rank: int
     can_repeat: bool
@@ -109,7 +112,15 @@
 
 
 class Answer(NamedTuple):
-    """The backend server's answer, or its first part."""
+    """The backend server's answer, or its first part.
+
+    Attributes
+    ----------
+    held_ms : int
+        Time between the offer's arrival and this answer.
+    service_ms : int
+        Average time for which a request holds a slot there.
+    """
 
     stream: int
     status: int
@@ -118,6 +129,7 @@
     body_bytes: int
     running: int
     queued: int
+    held_ms: int
     service_ms: int
 
 
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -6,6 +6,7 @@
 from typing import Any, cast
 
 from clementinekeel.nodes import frames
+from clementinekeel.nodes import transit
 from clementinekeel.runtime import log
 
 SILENCE_MS = 1_500
@@ -58,6 +59,7 @@
         self.peer: frames.Hello | None = None
         self.status: frames.EndpointStatus | None = None
         self.streams: dict[int, Any] = {}
+        self.transit = transit.TransitClock()
         self.configuration = 0
 
     @property
--- a/src/clementinekeel/routing/placement.py
+++ b/src/clementinekeel/routing/placement.py
@@ -6,7 +6,7 @@
 where its answer is expected first; a distance counts as the time it costs.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 import enum
 from typing import NamedTuple
 
@@ -21,9 +21,16 @@
     REMOTE = 2
 
 
-TIER_MS = {Tier.ZONE: 0.0, Tier.REGION: 4.0, Tier.REMOTE: 90.0}
+TIER_MS = {Tier.ZONE: 0.0, Tier.REGION: 6.0, Tier.REMOTE: 90.0}
 """Cost of a distance: the round trip, and for other regions half of it again,
-since their link is narrow and shared by all."""
+since their link is shared by all."""
+TIER_MS_PER_KB = {Tier.ZONE: 0.0, Tier.REGION: 8.0, Tier.REMOTE: 24.0}
+"""Cost of each KB over a distance. Links between zones and regions are billed
+by volume; a lookup of 5 KB waits 40 ms, a recording of 60 KB half a second for
+a near endpoint before it leaves the zone."""
+EXPLORED_SHARE = 1 / 32
+"""Requests that go to any endpoint nearby, so that an endpoint that was slow
+or is new is measured again."""
 CROWDING_SHARE = 0.5
 """Expected loss at a full endpoint, as a share of its service time: its load
 changes while the request is on its way."""
@@ -43,6 +50,8 @@
         Requests that run or wait there.
     service_ms : float
         Average time for which a request holds a slot.
+    transit_ms : float
+        Average time on the way there and back.
     is_suspect : bool
         Whether requests failed there recently.
     """
@@ -52,38 +61,60 @@
     slots: int
     load: int
     service_ms: float
+    transit_ms: float
     is_cold: bool
     is_suspect: bool
 
 
-def expected_ms(candidate: Candidate) -> float:
-    """Return the expected time until an answer from a candidate."""
+def expected_ms(candidate: Candidate, size_bytes: int) -> float:
+    """Return the expected cost of an answer from a candidate, as a time.
+
+    Parameters
+    ----------
+    size_bytes : int
+        Length of the request's body and, as expected, of its answer.
+    """
     slots = max(1, candidate.slots)
     service_ms = candidate.service_ms
     if candidate.is_cold:
         service_ms *= COLD_FACTOR
     excess = max(0, candidate.load + 1 - slots)
     crowding = min(1.0, candidate.load / slots) ** 4 * CROWDING_SHARE
-    expected = TIER_MS[candidate.tier] + service_ms * (
-        1 + excess / slots + crowding
-    )
+    distance_ms = max(candidate.transit_ms, TIER_MS[candidate.tier])
+    distance_ms += TIER_MS_PER_KB[candidate.tier] * size_bytes / 1024
+    expected = distance_ms + service_ms * (1 + excess / slots + crowding)
     return expected + (PENALTY_MS if candidate.is_suspect else 0.0)
 
 
-Placement = Callable[[Iterable[Candidate]], Candidate | None]
+Placement = Callable[[Sequence[Candidate], int, float], Candidate | None]
+"""Takes candidates, the size in bytes and a random number in [0, 1)."""
 PLACEMENTS: registry.Registry[Placement] = registry.Registry("placement")
 
 
 @PLACEMENTS.register("expected_time")
 def choose_by_expected_time(
-    candidates: Iterable[Candidate],
+    candidates: Sequence[Candidate], size_bytes: int, draw: float
 ) -> Candidate | None:
     """Return the candidate with the least expected time, or None."""
-    return min(candidates, key=expected_ms, default=None)
+    if draw < EXPLORED_SHARE:
+        near = [
+            c
+            for c in candidates
+            if c.tier is not Tier.REMOTE
+            and not c.is_suspect
+            and c.load < c.slots
+        ]
+        if near:
+            return near[int(draw / EXPLORED_SHARE * len(near))]
+    return min(
+        candidates, key=lambda c: expected_ms(c, size_bytes), default=None
+    )
 
 
 @PLACEMENTS.register("nearest")
-def choose_nearest(candidates: Iterable[Candidate]) -> Candidate | None:
+def choose_nearest(
+    candidates: Sequence[Candidate], size_bytes: int, draw: float
+) -> Candidate | None:
     """Return the least loaded candidate of the nearest tier, or None.
 
     The baseline: it fills a slow near endpoint while a farther one is idle.
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -15,6 +15,7 @@
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.nodes import frames
+from clementinekeel.nodes import transit as transit_module
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import settings as settings_module
 
@@ -32,6 +33,7 @@
     """Link or loopback on which an offer came."""
 
     streams: dict[int, Any]
+    transit: transit_module.TransitClock
 
     def send(self, frame: frames.Frame) -> None:
         """Send a frame back."""
@@ -41,11 +43,16 @@
     """One offered request."""
 
     def __init__(
-        self, sender: Sender, offer: frames.Offer, expires_at: float
+        self,
+        sender: Sender,
+        offer: frames.Offer,
+        expires_at: float,
+        arrived_at: float,
     ) -> None:
         self.sender = sender
         self.offer = offer
         self.expires_at = expires_at
+        self.arrived_at = arrived_at
         self.parts = [offer.body]
         self.missing = offer.body_bytes - len(offer.body)
         self.number = 0
@@ -158,8 +165,10 @@
 
     def offer(self, sender: Sender, offer: frames.Offer) -> None:
         """Take an offered request, or its first part."""
-        expires_at = self._loop.time() + offer.budget_ms / 1000
-        job = Job(sender, offer, expires_at)
+        now = self._loop.time()
+        late_ms = sender.transit.excess_ms(offer.sent_ms, now)
+        expires_at = now + (offer.budget_ms - late_ms) / 1000
+        job = Job(sender, offer, expires_at, now)
         sender.streams[offer.stream] = job
         if job.missing <= 0:
             self._submit(job)
@@ -381,6 +390,7 @@
                 len(body),
                 self._queue.running,
                 self._queue.queued,
+                round((now - job.arrived_at) * 1000),
                 round(self._queue.service_ms),
             )
         )
@@ -438,10 +448,12 @@
             outcome=name,
             reason=reason,
             rank=job.offer.rank,
-            waited_ms=round((job.started_at - job.expires_at) * 1000)
-            + job.offer.budget_ms
-            if job.started_at
-            else None,
+            waited_ms=round(
+                ((job.started_at or self._loop.time()) - job.arrived_at) * 1000
+            ),
+            late_ms=round(
+                job.offer.budget_ms - (job.expires_at - job.arrived_at) * 1000
+            ),
             service_ms=round((self._loop.time() - job.sent_at) * 1000)
             if job.sent_at
             else None,
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -34,8 +34,11 @@
 BODY_SHARE = 0.25
 """Share of the memory limit that bodies of requests may take."""
 MIB = 1024 * 1024
-STOP_SLACK_S = 0.5
+STOP_SLACK_S = 0.8
 """Time between the last answer of a planned stop and the kill."""
+HANDOVER_S = 1.4
+"""Time after the signal to stop for which other nodes may still send requests
+to the backend server; the rest of the notice time is enough to answer them."""
 NOTICE_S = 2.6
 """Time after the signal to stop in which callers may still send: the platform
 asks once a second and takes a node out after two negative answers."""
@@ -292,7 +295,7 @@
         self._origin.is_stopping = True
         started = self._loop.time()
         limit_s = self._settings.stop_timeout_ms / 1000 - STOP_SLACK_S
-        self._gate.stop()
+        self._loop.call_later(HANDOVER_S, self._gate.stop)
         while self._loop.time() - started < limit_s:
             for connection in list(self._connections):
                 if self._loop.time() - started > NOTICE_S:
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -12,6 +12,7 @@
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.callers import http1
 from clementinekeel.nodes import frames
+from clementinekeel.retries import budget
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import peers as peers_module
@@ -28,6 +29,16 @@
 RETRY_SPREAD = 0.5
 """Random part of Retry-After, so that refused callers don't return at once."""
 MIN_RETRY_AFTER_MS = 60
+ARRIVED_REASONS = frozenset(("backend_refused",))
+"""Refusals by the backend server itself: the request has arrived there."""
+BUDGET_SHARE = 0.6
+"""Part of the platform's retry ratio that each node uses. The rest is for
+calls of requests that were themselves sent twice, which count as well."""
+BUDGET_CAP = 3
+"""Retries saved up for one service; with 16 nodes these are the 48 extra ones
+that the platform allows in a window."""
+SIZE_GAIN = 0.1
+"""Weight of a new answer in the average size of a route's answers."""
 
 
 class Exchange:
@@ -51,9 +62,10 @@
         self.stream = 0
         self.offers = 0
         self.tried: set[str] = set()
-        self.may_have_run = False
+        self.arrivals = 0
         self.retry_after_ms = 0
         self.last_reason = ""
+        self.offered_at = 0.0
         self.answer: frames.Answer | None = None
         self.answer_parts: list[bytes] = []
         self.answer_missing = 0
@@ -86,6 +98,10 @@
         self._streams = 0
         self._active: set[Exchange] = set()
         self._random = random.Random()
+        self._sizes: dict[str, int] = {}
+        self._budget = budget.RetryBudget(
+            settings.retry_ratio * BUDGET_SHARE, BUDGET_CAP
+        )
         self.is_stopping = False
         self.counts: dict[tuple[str, str], int] = {}
         self._own_headers = frozenset(
@@ -174,6 +190,8 @@
         """Offer a refused request elsewhere, or refuse it."""
         exchange.peer = None
         exchange.last_reason = refusal.reason
+        if refusal.reason in ARRIVED_REASONS:
+            exchange.arrivals += 1
         known = exchange.retry_after_ms
         hint = refusal.retry_after_ms
         exchange.retry_after_ms = min(known, hint) if known else hint
@@ -182,7 +200,7 @@
     def on_failure(self, exchange: Exchange, reason: str) -> None:
         """Answer a request whose outcome is unknown."""
         exchange.peer = None
-        exchange.may_have_run = True
+        exchange.arrivals += 1
         left = exchange.expires_at - self._loop.time()
         status = 504 if reason == "backend_silent" or left <= 0 else 502
         self._fail(exchange, status, reason)
@@ -244,11 +262,21 @@
         if left_ms < MIN_OFFER_MS:
             self._refuse(exchange, "deadline")
             return
-        peer = self._peers.choose(exchange.service, exchange.tried)
+        peer = self._peers.choose(
+            exchange.service,
+            exchange.tried,
+            len(exchange.body) + self._sizes.get(route.name, 0),
+        )
         if peer is None or peer.status is None:
             self._refuse(exchange, exchange.last_reason or "no_endpoint")
             return
+        if not exchange.offers:
+            self._budget.on_first_attempt(exchange.service)
+        elif exchange.arrivals and not self._may_repeat(exchange, route):
+            self._refuse(exchange, exchange.last_reason)
+            return
         exchange.offers += 1
+        exchange.offered_at = now
         exchange.tried.add(peer.node)
         exchange.peer = peer
         self._streams += 1
@@ -258,6 +286,7 @@
             exchange.stream,
             peer.status.endpoint,
             exchange.request_id,
+            round(now * 1000),
             left_ms,
             route.rank,
             route.is_idempotent,
@@ -268,6 +297,12 @@
         )
         peer.offer(offer, body, exchange)
 
+    def _may_repeat(self, exchange: Exchange, route: table.Route) -> bool:
+        """Tell whether a request may arrive at one more endpoint."""
+        if exchange.arrivals >= route.max_attempts:
+            return False
+        return self._budget.take(exchange.service)
+
     def _withdraw(self, exchange: Exchange) -> None:
         peer, exchange.peer = exchange.peer, None
         if peer is not None:
@@ -281,6 +316,10 @@
         if exchange.answer_parts:
             body += b"".join(exchange.answer_parts)
         exchange.peer = None
+        if exchange.route is not None:
+            name = exchange.route.name
+            known = self._sizes.get(name, len(body))
+            self._sizes[name] = round(known + SIZE_GAIN * (len(body) - known))
         exchange.connection.respond(answer.head, body)
         self._end(exchange, "answered", answer.status)
 
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -7,6 +7,7 @@
 
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
+from clementinekeel.nodes import transit
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import log
@@ -23,6 +24,8 @@
 """Failures in a row after which an endpoint is used last."""
 SUSPECT_S = 2.0
 """How long it stays so without a new failure."""
+TRANSIT_GAIN = 0.1
+"""Weight of a new measurement of the transit time."""
 FORGET_S = 3.0
 """How long a node without an entry in the store may be unreachable before it
 counts as gone; entries are back two seconds after the store's return."""
@@ -35,6 +38,7 @@
         self, gate: gate_module.Gate, deliver: Callable[[frames.Frame], None]
     ) -> None:
         self.streams: dict[int, Any] = {}
+        self.transit = transit.TransitClock()
         self._gate = gate
         self._deliver = deliver
         self._loop = asyncio.get_running_loop()
@@ -73,11 +77,13 @@
         self.exchanges: dict[int, Any] = {}
         self.is_listed = False
         self.unreachable_since: float | None = None
+        self.dialed: link_module.Link | None = None
         self.is_dialing = False
         self.next_dial_at = 0.0
         self.backoff_s = MIN_BACKOFF_S
         self.load = 0
         self.service_ms = 100.0
+        self.transit_ms = 0.0
         self.failures = 0
         self.suspect_until = 0.0
         self.cold_until = 0.0
@@ -129,10 +135,16 @@
             slots,
             max(self.load, len(self.exchanges)),
             self.service_ms,
+            self.transit_ms,
             now < self.cold_until,
             now < self.suspect_until,
         )
 
+    def on_transit(self, transit_ms: float) -> None:
+        """Take a measurement of the time on the way there and back."""
+        gain = TRANSIT_GAIN * (transit_ms - self.transit_ms)
+        self.transit_ms = max(0.0, self.transit_ms + gain)
+
     def on_result(self, is_good: bool, now: float) -> None:
         """Note whether the endpoint gave an answer."""
         if is_good:
@@ -160,9 +172,7 @@
         self,
         settings: settings_module.SidecarSettings,
         incarnation: int,
-        choose_candidate: Callable[
-            [Iterable[placement.Candidate]], placement.Candidate | None
-        ],
+        choose_candidate: placement.Placement,
         decisions: decision_log.DecisionLog,
     ) -> None:
         self._settings = settings
@@ -206,15 +216,17 @@
         )
         self._peers[own.node] = own
 
-    def choose(self, service: str, excluded: set[str]) -> Peer | None:
+    def choose(
+        self, service: str, excluded: set[str], size_bytes: int
+    ) -> Peer | None:
         """Return the best usable endpoint of a service, or None."""
         now = self._loop.time()
-        found = {
-            peer.node: peer.candidate(now)
+        found = [
+            peer.candidate(now)
             for peer in self._by_service.get(service, ())
             if peer.is_usable and peer.node not in excluded
-        }
-        best = self._choose(found.values())
+        ]
+        best = self._choose(found, size_bytes, self._random.random())
         return self._peers[best.name] if best is not None else None
 
     def own_status_changed(self) -> None:
@@ -268,8 +280,8 @@
         for peer in list(self._peers.values()):
             if peer.loopback is not None:
                 continue
-            if peer.link is not None:
-                peer.link.check(version)
+            if peer.dialed is not None:
+                peer.dialed.check(version)
             elif (
                 not peer.is_listed
                 and peer.unreachable_since is not None
@@ -325,18 +337,22 @@
         )
 
     def _dial_if_needed(self, peer: Peer, now: float) -> None:
-        if peer.link is not None or peer.is_dialing or now < peer.next_dial_at:
+        if peer.is_dialing or now < peer.next_dial_at:
             return
         peer.is_dialing = True
         task = self._loop.create_task(self._dial(peer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _on_outbound_open(self, link: link_module.Link) -> None:
+        link.ask()
+        link.send(self._hello())
+
     async def _dial(self, peer: Peer) -> None:
         def make() -> link_module.Link:
             return link_module.Link(
                 lambda link, frame: self._on_outbound_frame(peer, link, frame),
-                lambda link: link.send(self._hello()),
+                self._on_outbound_open,
                 lambda link: self._on_outbound_end(peer, link),
             )
 
@@ -346,14 +362,13 @@
                     make, peer.host, peer.port
                 )
         except (OSError, TimeoutError) as error:
+            peer.is_dialing = False
             self._on_dial_failed(peer, error)
             return
-        finally:
-            peer.is_dialing = False
         if self._peers.get(peer.node) is not peer:
             link.abort()
-        elif link.is_open:
-            peer.link = link
+        else:
+            peer.dialed = link
 
     def _on_dial_failed(self, peer: Peer, error: Exception) -> None:
         now = self._loop.time()
@@ -372,21 +387,42 @@
         self, peer: Peer, link: link_module.Link, frame: frames.Frame
     ) -> None:
         if isinstance(frame, frames.Hello):
-            self._on_hello(link, frame)
-            peer.link = link
-            peer.unreachable_since = None
-            peer.backoff_s = MIN_BACKOFF_S
-            if frame.node != peer.node:
-                link.abort()
+            self._on_dialed_hello(peer, link, frame)
+        elif link.peer is None:
+            # Before its hello the other side may be any node.
+            link.abort()
         elif isinstance(frame, frames.EndpointStatus):
             self._set_status(peer, frame)
         elif not self._on_common(link, frame):
             self._on_result(peer, frame)
 
+    def _on_dialed_hello(
+        self, peer: Peer, link: link_module.Link, hello: frames.Hello
+    ) -> None:
+        if hello.node != peer.node:
+            # The address belongs to another node now.
+            link.abort()
+            self._remove(peer, "address_taken_over")
+            self.learn(
+                hello.node,
+                hello.host,
+                hello.port,
+                hello.zone,
+                hello.region,
+                is_listed=False,
+            )
+            return
+        self._on_hello(link, hello)
+        peer.link = link
+        peer.unreachable_since = None
+        peer.backoff_s = MIN_BACKOFF_S
+
     def _on_outbound_end(self, peer: Peer, link: link_module.Link) -> None:
         now = self._loop.time()
         if peer.link is link:
             peer.link = None
+        peer.is_dialing = False
+        peer.dialed = None
         peer.next_dial_at = now + MIN_BACKOFF_S * self._random.random()
         if peer.unreachable_since is None:
             peer.unreachable_since = now
@@ -406,6 +442,8 @@
             peer.on_result(frame.status < 500, now)
             if exchange is None:
                 return
+            passed_ms = (now - exchange.offered_at) * 1000
+            peer.on_transit(passed_ms - frame.held_ms)
             if frame.body_bytes <= len(frame.body):
                 del peer.exchanges[frame.stream]
             self.origin.on_answer(exchange, frame)
