--- a/src/clementinekeel/admission/slot_queue.py
+++ b/src/clementinekeel/admission/slot_queue.py
@@ -18,8 +18,13 @@
 MAX_WAIT_MS = 400.0
 """Longest wait that is planned for; a longer queue only ages requests, while
 another endpoint or a later return serves them better."""
-WAIT_SHARE = 0.5
-"""Share of a request's remaining time that may be spent waiting."""
+MAX_INFLATION = 8.0
+"""Largest factor between planned and actual waits that is believed."""
+INFLATION_GAIN = 0.1
+"""Weight of a new measurement of that factor."""
+WAIT_SHARE = 0.3
+"""Share of a request's remaining time that may be spent waiting; the rest is
+for its own work and for calls that it has yet to make."""
 
 
 class Ticket(NamedTuple):
@@ -29,12 +34,16 @@
     ----------
     rank : int
         Importance; 0 is served first.
+    began_at : float
+        When the chain of calls began. The oldest goes first, so that chains
+        that have begun are finished instead of all failing halfway.
     expires_at : float
         When its caller stops waiting, in seconds of the runtime's clock.
     """
 
     number: int
     rank: int
+    began_at: float
     expires_at: float
 
 
@@ -60,16 +69,21 @@
     refused: list[Refused]
 
 
+def _order(ticket: Ticket) -> tuple[int, float, int]:
+    return ticket.rank, ticket.began_at, ticket.number
+
+
 class SlotQueue:
     """Slots of one backend server and the requests that wait for them."""
 
     def __init__(self, slots: int = 0) -> None:
         self._slots = slots
         self._running: set[int] = set()
-        self._heap: list[tuple[int, int, Ticket]] = []
+        self._heap: list[tuple[int, float, int, Ticket]] = []
         self._waiting: dict[int, Ticket] = {}
-        self._order = 0
         self._service_ms = SERVICE_MS_START
+        self._entered: dict[int, tuple[float, float]] = {}
+        self._inflation = 1.0
 
     @property
     def running(self) -> int:
@@ -108,10 +122,11 @@
         if len(self._running) < self._slots and not self._waiting:
             self._running.add(ticket.number)
             return Changes([ticket.number], [])
-        if self._wait_ms(ticket.rank) > self._patience_ms(ticket, now):
+        planned_ms = self._wait_ms(ticket)
+        if planned_ms * self._inflation > self._patience_ms(ticket, now):
             return Changes([], [Refused(ticket.number, "overload")])
-        self._order += 1
-        heapq.heappush(self._heap, (ticket.rank, self._order, ticket))
+        self._entered[ticket.number] = now, planned_ms
+        heapq.heappush(self._heap, (*_order(ticket), ticket))
         self._waiting[ticket.number] = ticket
         return self._shed(now)
 
@@ -126,12 +141,14 @@
 
     def cancel(self, number: int) -> bool:
         """Drop a waiting request; tell whether it was waiting."""
+        self._entered.pop(number, None)
         return self._waiting.pop(number, None) is not None
 
     def drop_all(self, reason: str) -> Changes:
         """Refuse all waiting requests."""
         refused = [Refused(number, reason) for number in self._waiting]
         self._waiting.clear()
+        self._entered.clear()
         self._heap.clear()
         return Changes([], refused)
 
@@ -144,15 +161,27 @@
         ]
         for refusal in late:
             del self._waiting[refusal.number]
+            self._learn_wait(refusal.number, now)
         return Changes([], late)
 
     def _slot_gap_ms(self) -> float:
         return self._service_ms / max(1, self._slots)
 
-    def _wait_ms(self, rank: int) -> float:
-        ahead = sum(1 for t in self._waiting.values() if t.rank <= rank)
+    def _wait_ms(self, ticket: Ticket) -> float:
+        order = _order(ticket)
+        ahead = sum(1 for t in self._waiting.values() if _order(t) < order)
         return (ahead + 1) * self._slot_gap_ms()
 
+    def _learn_wait(self, number: int, now: float) -> None:
+        # Requests that come later but rank higher go ahead, such as the next
+        # calls of older chains, so that a plan by the queue alone is short.
+        entered = self._entered.pop(number, None)
+        if entered is None:
+            return
+        waited_ms = (now - entered[0]) * 1000
+        ratio = min(MAX_INFLATION, max(1.0, waited_ms / entered[1]))
+        self._inflation += INFLATION_GAIN * (ratio - self._inflation)
+
     def _patience_ms(self, ticket: Ticket, now: float) -> float:
         left_ms = (ticket.expires_at - now) * 1000
         return min(MAX_WAIT_MS, left_ms * WAIT_SHARE)
@@ -162,10 +191,9 @@
         limit = MAX_WAIT_MS / self._slot_gap_ms() + 1
         refused: list[Refused] = []
         while len(self._waiting) > limit:
-            worst = max(
-                self._waiting.values(), key=lambda t: (t.rank, t.number)
-            )
+            worst = max(self._waiting.values(), key=_order)
             del self._waiting[worst.number]
+            self._entered.pop(worst.number, None)
             refused.append(Refused(worst.number, "displaced"))
         return Changes([], refused)
 
@@ -173,9 +201,10 @@
         admitted: list[int] = []
         refused: list[Refused] = []
         while self._heap and len(self._running) < self._slots:
-            ticket = heapq.heappop(self._heap)[2]
+            ticket = heapq.heappop(self._heap)[-1]
             if self._waiting.pop(ticket.number, None) is None:
                 continue
+            self._learn_wait(ticket.number, now)
             left_ms = (ticket.expires_at - now) * 1000
             if left_ms < self._service_ms * 0.5:
                 refused.append(Refused(ticket.number, "deadline"))
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -78,7 +78,12 @@
     budget_ms : int
         Time that is left until its caller stops waiting.
     rank : int
-        Importance; 0 is shed last.
+        Importance of the request with which the chain of calls began; 0 is
+        shed last.
+    age_ms : int
+        Time since the chain of calls began.
+    depth : int
+        Calls above this request.
     can_repeat : bool
         Whether the request is idempotent.
     is_head : bool
@@ -97,6 +102,8 @@
     sent_ms: int
     budget_ms: int
     rank: int
+    age_ms: int
+    depth: int
     can_repeat: bool
     is_head: bool
     head: bytes
@@ -116,6 +123,8 @@
 
     Attributes
     ----------
+    is_starved : bool
+        Whether a call that the request needed found no room.
     held_ms : int
         Time between the offer's arrival and this answer.
     service_ms : int
@@ -129,6 +138,7 @@
     body_bytes: int
     running: int
     queued: int
+    is_starved: bool
     held_ms: int
     service_ms: int
 
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -24,11 +24,22 @@
 STALE_REUSE_S = 0.01
 """A reused connection that ends within this time without an answer had been
 closed before; an idempotent request is sent once more on a new one."""
+SERVER_ERROR = 500
+"""Lowest HTTP status of a failure of the backend server."""
+SLOT_SHARE = 0.95
+"""Part of the slots that is used: backend servers slow down by a third when
+the last ones are taken, which costs more than those slots give."""
+FEW_SLOTS = 20
+"""With fewer slots, leaving one unused costs more than that."""
 DOWN_RETRY_S = 1.0
 """How long a backend server that can't be reached gets no requests; its next
 heartbeat ends this sooner."""
 
 
+def _usable_slots(slots: int) -> int:
+    return slots if slots < FEW_SLOTS else int(slots * SLOT_SHARE)
+
+
 class Sender(Protocol):
     """Link or loopback on which an offer came."""
 
@@ -61,6 +72,7 @@
         self.sent_at = 0.0
         self.is_over = False
         self.is_resent = False
+        self.is_starved = False
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -86,6 +98,7 @@
         self._beats = heartbeats.HeartbeatRecord()
         self._queue = slot_queue.SlotQueue()
         self._jobs: dict[int, Job] = {}
+        self._by_request: dict[str, Job] = {}
         self._numbers = 0
         self._is_stopping = False
         self._down_until = 0.0
@@ -106,7 +119,7 @@
             beat.endpoint,
             beat.service,
             self._accepts(beat),
-            beat.slots,
+            self._queue.slots,
             self._queue.running,
             self._queue.queued,
             cold_ms,
@@ -122,6 +135,10 @@
         """Slots and waiting requests."""
         return self._queue
 
+    def find_job(self, request_id: str) -> Job | None:
+        """Return the running request with an identifier, or None."""
+        return self._by_request.get(request_id)
+
     def heartbeat(self, beat: heartbeats.Heartbeat) -> None:
         """Take over what the backend server says of itself."""
         before = self.status
@@ -144,7 +161,7 @@
         if is_new:
             self._pool.drop()
             self._apply(self._queue.drop_all("replaced"))
-        self._apply(self._queue.resize(beat.slots, now))
+        self._apply(self._queue.resize(_usable_slots(beat.slots), now))
         if not self._accepts(beat):
             self._apply(self._queue.drop_all("leaving"))
         self._report(before)
@@ -243,8 +260,12 @@
             self._numbers += 1
             job.number = self._numbers
             self._jobs[job.number] = job
+            self._by_request[job.offer.request_id] = job
             ticket = slot_queue.Ticket(
-                job.number, job.offer.rank, job.expires_at
+                job.number,
+                job.offer.rank,
+                job.arrived_at - job.offer.age_ms / 1000,
+                job.expires_at,
             )
             self._apply(self._queue.offer(ticket, self._loop.time()))
 
@@ -390,6 +411,7 @@
                 len(body),
                 self._queue.running,
                 self._queue.queued,
+                job.is_starved and status >= SERVER_ERROR,
                 round((now - job.arrived_at) * 1000),
                 round(self._queue.service_ms),
             )
@@ -433,6 +455,8 @@
         if job.timer is not None:
             job.timer.cancel()
         self._jobs.pop(job.number, None)
+        if self._by_request.get(job.offer.request_id) is job:
+            del self._by_request[job.offer.request_id]
         job.sender.streams.pop(job.offer.stream, None)
         job.parts = []
         self._note(job, note, note in ("answered", "cancelled"))
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -39,6 +39,10 @@
 HANDOVER_S = 1.4
 """Time after the signal to stop for which other nodes may still send requests
 to the backend server; the rest of the notice time is enough to answer them."""
+SETTINGS_POLL_S = 2.0
+"""Reading and comparing the file takes half a millisecond."""
+STOP_POLL_S = 0.05
+"""Time between two looks at what is left to answer."""
 NOTICE_S = 2.6
 """Time after the signal to stop in which callers may still send: the platform
 asks once a second and takes a node out after two negative answers."""
@@ -165,6 +169,7 @@
             self._peers,
             self._decisions,
             self._has_room,
+            self._gate.find_job,
         )
         self._peers.attach(self._gate, self._origin)
         self._connections: set[http1.ServerConnection] = set()
@@ -221,10 +226,9 @@
             tasks.start_soon(self._registration.keep)
             tasks.start_soon(self._registration.follow)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._watch_settings)
             await self._handle_signals()
-            await self._finish()
-            for server in servers:
-                server.close()
+            await self._finish(servers)
             tasks.cancel_scope.cancel()
         self._decisions.write("node_stopped", False)
         self._decisions.flush()
@@ -279,6 +283,16 @@
                 )
                 return
 
+    async def _watch_settings(self) -> None:
+        """Reload settings that change without a signal."""
+        known = self._wiring.reload_settings().value_or(None)
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            changed = self._wiring.reload_settings().value_or(None)
+            if changed is not None and changed != known:
+                known = changed
+                self._reload()
+
     def _reload(self) -> None:
         loaded = self._wiring.reload_settings()
         changed = loaded.value_or(None)
@@ -289,20 +303,26 @@
         self._decisions.write("reloaded", False, service=changed.service)
         self._origin.service = changed.service
 
-    async def _finish(self) -> None:
-        """Wait until no request is left, at most until shortly before kill."""
+    async def _finish(self, servers: list[asyncio.Server]) -> None:
+        """Answer what was taken; end at the latest shortly before the kill."""
         self._is_stopping = True
         self._origin.is_stopping = True
         started = self._loop.time()
         limit_s = self._settings.stop_timeout_ms / 1000 - STOP_SLACK_S
         self._loop.call_later(HANDOVER_S, self._gate.stop)
+        await asyncio.sleep(NOTICE_S)
+        # The backend server's last requests may still make calls.
+        self._origin.closes_at = started + limit_s
         while self._loop.time() - started < limit_s:
             for connection in list(self._connections):
-                if self._loop.time() - started > NOTICE_S:
-                    connection.close_idle()
-            if self._loop.time() - started > NOTICE_S and self._is_idle():
+                connection.close_idle()
+            if self._gate.is_idle:
+                self._origin.closes_at = 0.0
+            if self._is_idle():
                 break
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(STOP_POLL_S)
+        for server in servers:
+            server.close()
         self._peers.close()
 
     def _is_idle(self) -> bool:
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -9,12 +9,14 @@
 import random
 from typing import Any
 
+from clementinekeel.admission import throttle
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.callers import http1
 from clementinekeel.nodes import frames
-from clementinekeel.retries import budget
+from clementinekeel.retries import window
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import gate as gate_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
 
@@ -24,6 +26,9 @@
 TIMEOUT_GRACE_S = 0.25
 """Time beyond the deadline in which the backend server's own answer may still
 arrive; callers accept half a second."""
+MAX_ALL_OFFERS = 10
+"""The same with those that a backend server itself refused, which are bounded
+by the retry budget."""
 MIN_OFFER_MS = 20
 """A request with less time left can't be answered by any endpoint."""
 RETRY_SPREAD = 0.5
@@ -31,12 +36,18 @@
 MIN_RETRY_AFTER_MS = 60
 ARRIVED_REASONS = frozenset(("backend_refused",))
 """Refusals by the backend server itself: the request has arrived there."""
-BUDGET_SHARE = 0.6
-"""Part of the platform's retry ratio that each node uses. The rest is for
-calls of requests that were themselves sent twice, which count as well."""
-BUDGET_CAP = 3
-"""Retries saved up for one service; with 16 nodes these are the 48 extra ones
-that the platform allows in a window."""
+BUDGET_SHARES = (0.1, 0.15, 0.2, 0.75)
+"""Part of the platform's retry ratio that a node uses for a service, by the
+depth of the calls to it. A request that is sent twice makes its calls twice,
+which counts at each service below, so that the shares of a chain add up."""
+BUDGET_EXTRA = 2
+"""Repeats of a service for each node and window beyond that share; some 20
+nodes together stay below the platform's 48."""
+THROTTLED_RETRY_MS = 250
+"""Retry-After of throttled requests: long enough for the load to change, short
+enough to be answered within the latency objective."""
+STARVED_STATUSES = (503, 504)
+"""Own answers that mean lack of room: refused, or not answered in time."""
 SIZE_GAIN = 0.1
 """Weight of a new answer in the average size of a route's answers."""
 
@@ -60,9 +71,15 @@
         self.is_over = False
         self.peer: peers_module.Peer | None = None
         self.stream = 0
+        self.rank = 0
+        self.age_ms = 0
+        self.depth = 0
+        self.parent: gate_module.Job | None = None
+        self.is_begun = False
         self.offers = 0
         self.tried: set[str] = set()
         self.arrivals = 0
+        self.runs = 0
         self.retry_after_ms = 0
         self.last_reason = ""
         self.offered_at = 0.0
@@ -86,12 +103,14 @@
         peers: peers_module.Peers,
         decisions: decision_log.DecisionLog,
         has_room: Callable[[int], bool],
+        find_job: Callable[[str], gate_module.Job | None],
     ) -> None:
         self._settings = settings
         self._dialect = dialect
         self._peers = peers
         self._decisions = decisions
         self._has_room = has_room
+        self._find_job = find_job
         self._loop = asyncio.get_running_loop()
         self._table: table.RoutingTable | None = None
         self._split = table.WeightedChoice()
@@ -99,10 +118,11 @@
         self._active: set[Exchange] = set()
         self._random = random.Random()
         self._sizes: dict[str, int] = {}
-        self._budget = budget.RetryBudget(
-            settings.retry_ratio * BUDGET_SHARE, BUDGET_CAP
-        )
+        self._budgets: dict[str, window.WindowedBudget] = {}
+        self._depths: dict[str, int] = {}
+        self._throttles: dict[str, throttle.RouteThrottle] = {}
         self.is_stopping = False
+        self.closes_at: float | None = None
         self.counts: dict[tuple[str, str], int] = {}
         self._own_headers = frozenset(
             (
@@ -149,6 +169,8 @@
         exchange = Exchange(self, connection)
         exchange.started_at = request.started_at
         fault = self._prepare(exchange, request)
+        if fault is None and self._is_too_late(exchange):
+            fault = 503, "stopping"
         if fault is not None:
             status, reason = fault
             if status == 503:
@@ -156,6 +178,11 @@
             else:
                 self._fail(exchange, status, reason)
             return None
+        if self._is_throttled(exchange):
+            exchange.retry_after_ms = THROTTLED_RETRY_MS
+            self._refuse(exchange, "throttled")
+            return None
+        exchange.is_begun = True
         self._active.add(exchange)
         exchange.timer = self._loop.call_at(
             exchange.expires_at + TIMEOUT_GRACE_S, self._time_out, exchange
@@ -192,6 +219,8 @@
         exchange.last_reason = refusal.reason
         if refusal.reason in ARRIVED_REASONS:
             exchange.arrivals += 1
+            # The backend server may take it a moment later.
+            exchange.tried.clear()
         known = exchange.retry_after_ms
         hint = refusal.retry_after_ms
         exchange.retry_after_ms = min(known, hint) if known else hint
@@ -201,6 +230,7 @@
         """Answer a request whose outcome is unknown."""
         exchange.peer = None
         exchange.arrivals += 1
+        exchange.runs += 1
         left = exchange.expires_at - self._loop.time()
         status = 504 if reason == "backend_silent" or left <= 0 else 502
         self._fail(exchange, status, reason)
@@ -249,14 +279,56 @@
         if deadline.isdigit():
             budget_ms = min(budget_ms, int(deadline))
         exchange.expires_at = exchange.started_at + budget_ms / 1000
+        self._join_chain(exchange, route)
         return None
 
+    def _join_chain(self, exchange: Exchange, route: table.Route) -> None:
+        """Take rank, age and deadline from the request that makes a call.
+
+        A backend server's calls name the request that makes them by the part
+        of their identifier before the last dot. Without that they count as
+        requests of their own.
+        """
+        # Of one rank, requests that may run only once are shed last.
+        exchange.rank = 2 * route.rank + int(route.is_idempotent)
+        parent_id = exchange.request_id.rpartition(".")[0]
+        parent = self._find_job(parent_id) if parent_id else None
+        if parent is None:
+            return
+        offer = parent.offer
+        exchange.parent = parent
+        exchange.rank = offer.rank
+        exchange.depth = offer.depth + 1
+        age_s = exchange.started_at - parent.arrived_at
+        exchange.age_ms = offer.age_ms + round(age_s * 1000)
+        exchange.expires_at = min(exchange.expires_at, parent.expires_at)
+
+    def _is_throttled(self, exchange: Exchange) -> bool:
+        """Tell whether a request must not begin, for lack of room below."""
+        route = exchange.route
+        if route is None or exchange.parent is not None:
+            return False
+        share = self._throttle(route).admitted_share(self._loop.time())
+        return self._random.random() >= share
+
+    def _throttle(self, route: table.Route) -> throttle.RouteThrottle:
+        limiter = self._throttles.get(route.name)
+        if limiter is None:
+            limiter = self._throttles[route.name] = throttle.RouteThrottle()
+        return limiter
+
+    def _is_too_late(self, exchange: Exchange) -> bool:
+        """Tell whether a request might not end before a planned stop."""
+        closes_at = self.closes_at
+        return closes_at is not None and exchange.expires_at > closes_at
+
     def _offer(self, exchange: Exchange) -> None:
         """Offer a request that has not run to the best endpoint."""
         now = self._loop.time()
         left_ms = round((exchange.expires_at - now) * 1000)
         route = exchange.route
-        if route is None or exchange.offers >= MAX_OFFERS:
+        limit = MAX_OFFERS + exchange.arrivals
+        if route is None or exchange.offers >= min(limit, MAX_ALL_OFFERS):
             self._refuse(exchange, exchange.last_reason or "overload")
             return
         if left_ms < MIN_OFFER_MS:
@@ -271,7 +343,7 @@
             self._refuse(exchange, exchange.last_reason or "no_endpoint")
             return
         if not exchange.offers:
-            self._budget.on_first_attempt(exchange.service)
+            self._budget(exchange.service).on_first_attempt(now)
         elif exchange.arrivals and not self._may_repeat(exchange, route):
             self._refuse(exchange, exchange.last_reason)
             return
@@ -288,7 +360,9 @@
             exchange.request_id,
             round(now * 1000),
             left_ms,
-            route.rank,
+            exchange.rank,
+            exchange.age_ms + round((now - exchange.started_at) * 1000),
+            exchange.depth,
             route.is_idempotent,
             exchange.is_head,
             exchange.head,
@@ -299,9 +373,24 @@
 
     def _may_repeat(self, exchange: Exchange, route: table.Route) -> bool:
         """Tell whether a request may arrive at one more endpoint."""
-        if exchange.arrivals >= route.max_attempts:
+        if exchange.runs >= route.max_attempts:
             return False
-        return self._budget.take(exchange.service)
+        depth = max(self._depths.get(exchange.service, 0), exchange.depth)
+        self._depths[exchange.service] = depth
+        share = BUDGET_SHARES[min(depth, len(BUDGET_SHARES) - 1)]
+        return self._budget(exchange.service).take(
+            self._loop.time(),
+            share * self._settings.retry_ratio,
+            exchange.rank == 0,
+        )
+
+    def _budget(self, service: str) -> window.WindowedBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = window.WindowedBudget(
+                self._settings.retry_window_ms / 1000, BUDGET_EXTRA
+            )
+        return budget
 
     def _withdraw(self, exchange: Exchange) -> None:
         peer, exchange.peer = exchange.peer, None
@@ -350,6 +439,21 @@
         exchange.connection.respond(head, body)
         self._end(exchange, reason, status)
 
+    def _account(self, exchange: Exchange, status: int) -> None:
+        """Tell the chain whether a request ended for lack of room."""
+        answer = exchange.answer
+        is_starved = (
+            status in STARVED_STATUSES
+            and exchange.last_reason not in ARRIVED_REASONS
+        )
+        if answer is not None:
+            is_starved = answer.is_starved
+        parent = exchange.parent
+        if parent is not None:
+            parent.is_starved = parent.is_starved or is_starved
+        elif exchange.is_begun and exchange.route is not None:
+            self._throttle(exchange.route).on_ended(is_starved)
+
     def _time_out(self, exchange: Exchange) -> None:
         if exchange.is_over:
             return
@@ -361,6 +465,7 @@
         if exchange.timer is not None:
             exchange.timer.cancel()
         self._active.discard(exchange)
+        self._account(exchange, status)
         key = (reason, str(status))
         self.counts[key] = self.counts.get(key, 0) + 1
         now = self._loop.time()
@@ -371,6 +476,9 @@
             "reason": reason,
             "route": route.name if route else None,
             "service": exchange.service,
+            "rank": exchange.rank,
+            "depth": exchange.depth,
+            "caller": exchange.connection.remote_host,
             "offers": exchange.offers,
             "tried": ",".join(exchange.tried),
             "ms": round((now - exchange.started_at) * 1000),
--- /dev/null
+++ b/tests/retries/test_window.py
@@ -0,0 +1,57 @@
+"""Repeats allowed in sliding windows."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from clementinekeel.retries import window
+
+SHARE = 0.1
+
+
+def test_share_of_the_requests_may_be_repeated():
+    budget = window.WindowedBudget(10, extra=0)
+    for index in range(100):
+        budget.on_first_attempt(50 + index / 20)
+    taken = sum(budget.take(55, SHARE, True) for _ in range(50))
+    assert taken == 10
+
+
+def test_last_part_is_kept_for_urgent_requests():
+    budget = window.WindowedBudget(10, extra=10)
+    assert sum(budget.take(50, SHARE, False) for _ in range(20)) == 3
+    assert sum(budget.take(50, SHARE, True) for _ in range(20)) == 7
+
+
+def test_budget_follows_the_busier_window_before():
+    """While callers are throttled, requests that do begin need repeats."""
+    budget = window.WindowedBudget(10, extra=0)
+    for index in range(200):
+        budget.on_first_attempt(40 + index / 20)
+    assert budget.take(59.5, SHARE, True)
+    assert not budget.take(75, SHARE, True)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.booleans(), strategies.integers(0, 40)),
+        max_size=300,
+    )
+)
+@pytest.mark.parametrize("extra", [0, 3])
+def test_no_window_has_more_repeats_than_the_rule_allows(extra, steps):
+    """Breaking the ratio in any sliding window breaks the platform's rule."""
+    budget = window.WindowedBudget(10, extra)
+    now = 100.0
+    requests, repeats = [], []
+    for is_repeat, pause in steps:
+        now += pause / 20
+        if not is_repeat:
+            budget.on_first_attempt(now)
+            requests.append(now)
+        elif budget.take(now, SHARE, True):
+            repeats.append(now)
+    for start in repeats:
+        in_window = [t for t in repeats if start <= t < start + 10]
+        recent = [t for t in requests if start - 11 <= t < start + 10]
+        assert len(in_window) <= extra + SHARE * len(recent)
--- /dev/null
+++ b/tests/sidecar/test_origin.py
@@ -0,0 +1,261 @@
+"""What callers are told, from two or three nodes in memory."""
+
+import asyncio
+
+import pytest
+
+from clementinekeel.nodes import frames
+from clementinekeel.routing import table
+from tests import memory_loop
+from tests.sidecar import world
+
+
+def run_members(function, count=2, **changes):
+    async def main():
+        members = [world.Member(f"n{i + 1}", **changes) for i in range(count)]
+        servers = [world.BackendServer(m.settings.node) for m in members]
+        for member in members:
+            for other in members:
+                member.learn(other)
+        await world.settle()
+        await function(members, servers)
+
+    memory_loop.run(main)
+
+
+def test_request_is_served_by_another_node():
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2"))
+        await world.settle()
+        connection, _ = world.send(members[0])
+        await world.settle()
+        ((status, head, body),) = connection.answers
+        assert (status, body) == (200, b"fine")
+        assert b"seal: s" in head
+        ((head, headers, _),) = servers[1].requests
+        assert head.startswith(b"GET /a/x HTTP/1.1")
+        assert headers[b"caller"] == b"s"
+
+    run_members(scenario)
+
+
+def test_long_bodies_arrive_whole_in_both_directions():
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2"))
+        answer = bytes(range(256)) * 1_000
+        servers[1].behave = lambda c, h, i: c.answer(i, body=answer)
+        await world.settle()
+        sent = bytes(reversed(range(256))) * 1_500
+        connection, _ = world.send(members[0], method=b"POST", body=sent)
+        await world.settle()
+        assert servers[1].requests[0][2] == sent
+        assert connection.answers[0][2] == answer
+
+    run_members(scenario)
+
+
+def test_full_endpoint_is_left_for_another_one():
+    """An idle slot beside a waiting request wastes capacity."""
+
+    async def scenario(members, servers):
+        for member in members:
+            member.gate.heartbeat(world.beat(member.settings.node, slots=1))
+        for server in servers:
+            server.behave = lambda c, h, i: None
+        await world.settle()
+        for _ in range(3):
+            world.send(members[0])
+        await world.settle()
+        assert [len(s.requests) for s in servers] == [1, 1, 1]
+
+    run_members(scenario, count=3)
+
+
+def test_refused_request_names_when_to_return():
+    async def scenario(members, servers):
+        connection, _ = world.send(members[0])
+        ((status, head, _),) = connection.answers
+        assert status == 503
+        assert b"retry-after: 0." in head
+
+    run_members(scenario)
+
+
+@pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
+def test_lost_link_is_never_answered_as_not_run(path):
+    """The request may have run beside the node that was lost."""
+
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2"))
+        servers[1].behave = lambda c, h, i: None
+        await world.settle()
+        connection, _ = world.send(members[0], path)
+        await world.settle()
+        for link in list(members[1].peers._inbound):
+            link.abort()
+        await world.settle()
+        assert [a[0] for a in connection.answers] == [502]
+
+    run_members(scenario)
+
+
+def test_timeout_of_the_route_ends_a_request():
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2"))
+        servers[1].behave = lambda c, h, i: None
+        await world.settle()
+        connection, _ = world.send(members[0])
+        await world.settle(1.3)
+        assert [a[0] for a in connection.answers] == [504]
+
+    run_members(scenario)
+
+
+def test_silent_link_is_found_and_replaced():
+    """Connections between nodes go silent without a reset."""
+
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2"))
+        await world.settle()
+        asyncio.get_running_loop().silence("n2", 5)
+        for _ in range(16):
+            for member in members:
+                member.tick()
+            await world.settle(0.25)
+        connection, _ = world.send(members[0])
+        await world.settle()
+        assert [a[0] for a in connection.answers] == [200]
+
+    run_members(scenario)
+
+
+def test_address_of_a_replaced_node_belongs_to_the_new_one():
+    """A replaced VM's address was dialed under its old name for ever, and
+    each attempt dropped requests."""
+
+    async def scenario(members, servers):
+        successor = world.Member("n3")
+        loop = asyncio.get_running_loop()
+        loop.listeners[members[1].settings.peers] = successor.peers.accept
+        for link in list(members[1].peers._inbound):
+            link.abort()
+        await world.settle()
+        for _ in range(4):
+            members[0].tick()
+            await world.settle(0.25)
+        known = {peer.node for peer in members[0].peers.known}
+        assert known == {"n1", "n3"}
+
+    run_members(scenario)
+
+
+def test_unlisted_node_is_kept_while_its_link_is_up():
+    """A store that takes entries away must not empty the list."""
+
+    async def scenario(members, servers):
+        members[0].peers.set_listed(set())
+        for _ in range(40):
+            members[0].tick()
+            await world.settle(0.25)
+        assert {p.node for p in members[0].peers.known} == {"n1", "n2"}
+
+    run_members(scenario)
+
+
+def test_older_configuration_never_replaces_a_newer_one():
+    async def scenario(members, servers):
+        origin = members[0].origin
+        assert origin.use(world.routing_table(5))
+        assert not origin.use(world.routing_table(4))
+        assert not origin.use(world.routing_table(5))
+        assert origin.version == 5
+
+    run_members(scenario)
+
+
+def test_node_without_the_store_gets_the_configuration_from_others():
+    async def scenario(members, servers):
+        received = []
+        members[1].peers.on_configuration = lambda content, peer: (
+            received.append((content, peer))
+        )
+        members[0].peers.configuration = (7, b"seven")
+        members[0].peers.announce(before=6)
+        await world.settle()
+        assert received == [(b"seven", "n1")]
+
+    run_members(scenario)
+
+
+def test_backend_refusals_are_repeated_within_the_budget():
+    """Backend servers that turned a third of all requests away got 27,810
+    repeats in 10 s where 7,087 were allowed."""
+
+    async def scenario(members, servers):
+        for member in members:
+            member.gate.heartbeat(world.beat(member.settings.node, slots=50))
+        for server in servers:
+            server.behave = lambda c, h, i: c.answer(i, 503, b"Not-Run: 1\r\n")
+        await world.settle()
+        for _ in range(100):
+            world.send(members[0])
+            await world.settle(0.01)
+        arrived = [h[b"id"] for s in servers for _, h, _ in s.requests]
+        assert 0 < len(arrived) - len(set(arrived)) <= 20
+
+    run_members(scenario, count=3)
+
+
+def test_split_route_has_its_shares_in_a_small_sample():
+    shares = (table.Share("s", 90), table.Share("t", 10))
+    split = world.ROUTE._replace(shares=shares)
+    choice = table.WeightedChoice()
+    chosen = [choice.choose(split) for _ in range(100)]
+    assert chosen.count("t") == 10
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        (b"/none/x", {}, 404),
+        (b"/a/x", {"id": b"twice"}, 400),
+    ],
+    ids=["no route", "two request ids"],
+)
+def test_bad_requests_are_answered_by_the_node(path, headers, status):
+    async def scenario(members, servers):
+        connection, _ = world.send(members[0], path, **headers)
+        assert [a[0] for a in connection.answers] == [status]
+
+    run_members(scenario)
+
+
+def test_no_frame_of_a_request_is_left_after_it_ended():
+    """Streams that are kept would grow the memory of a node."""
+
+    async def scenario(members, servers):
+        members[1].gate.heartbeat(world.beat("n2", slots=20))
+        await world.settle()
+        for _ in range(20):
+            world.send(members[0])
+        await world.settle()
+        assert all(not peer.exchanges for peer in members[0].peers.known)
+        assert all(not link.streams for link in members[1].peers._inbound)
+        assert members[0].origin.is_idle
+        assert members[1].gate.is_idle
+
+    run_members(scenario)
+
+
+def test_frames_survive_any_cut_of_the_stream():
+    sent = [
+        frames.Cancel(7),
+        frames.Refusal(1, "overload", 20, 3, 4),
+        frames.AnswerPart(2, b"x" * 1_000),
+    ]
+    data = b"".join(map(frames.encode, sent))
+    reader = frames.FrameReader()
+    received = []
+    for start in range(0, len(data), 3):
+        received += reader.feed(data[start : start + 3])
+    assert received == sent
--- /dev/null
+++ b/tests/sidecar/world.py
@@ -0,0 +1,242 @@
+"""Forwarding nodes, backend servers, callers and a store in memory."""
+
+import asyncio
+import itertools
+
+from clementinekeel.backends import http1
+from clementinekeel.callers import dialect
+from clementinekeel.membership import heartbeats
+from clementinekeel.routing import placement
+from clementinekeel.routing import table
+from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import gate
+from clementinekeel.sidecar import origin
+from clementinekeel.sidecar import peers
+from clementinekeel.sidecar import settings
+
+DIALECT = dialect.Dialect(
+    request_id=b"id",
+    deadline_ms=b"deadline",
+    seal=b"seal",
+    target=b"target",
+    not_run=b"not-run",
+    retry_after=b"retry-after",
+    calling_service=b"caller",
+    ready_path=b"/ready",
+    endpoint_path=b"/endpoints/",
+)
+SETTINGS = settings.SidecarSettings(
+    node="n1",
+    zone="z1",
+    region="r1",
+    service="s",
+    backend=settings.Address("vm1", 1),
+    outbound=settings.Address("vm1", 2),
+    health=settings.Address("vm1", 3),
+    announcements=settings.Address("vm1", 4),
+    peers=settings.Address("vm1", 5),
+    metrics_port=6,
+    store=settings.Address("store", 1),
+    lease_min_ms=1_000,
+    store_reads_per_s=2_000,
+    memory_mb=300,
+    descriptors=4_100,
+    stop_timeout_ms=6_000,
+    drain_ms=2_500,
+    retry_ratio=0.2,
+    retry_extra=48,
+    retry_window_ms=10_000,
+)
+ROUTE = table.Route(
+    name="lookup",
+    host="h",
+    prefix="/a/",
+    repeatability=table.Repeatability.IDEMPOTENT,
+    shares=(table.Share("s", 1),),
+    timeout_ms=1_000,
+    objective_ms=1_000,
+    max_attempts=2,
+    rank=2,
+)
+BOOKING = ROUTE._replace(
+    name="booking",
+    prefix="/b/",
+    repeatability=table.Repeatability.NON_IDEMPOTENT,
+    rank=0,
+)
+
+
+def routing_table(version=1, routes=(ROUTE, BOOKING)):
+    return table.RoutingTable(version, routes, {}, table.CallerLimits())
+
+
+def beat(node, sequence=1, **changes):
+    fields = {
+        "endpoint": f"e-{node}",
+        "incarnation_ms": 1,
+        "sequence": sequence,
+        "service": "s",
+        "address": f"{node}:1",
+        "slots": 2,
+        "state": heartbeats.EndpointState.READY,
+        "cold_ms": 0,
+    }
+    return heartbeats.Heartbeat(**{**fields, **changes})
+
+
+class QuietLog(decision_log.DecisionLog):
+    """Keeps the events instead of writing them."""
+
+    def __init__(self):
+        super().__init__("test", 1)
+        self.events = []
+
+    def write(self, event, is_routine, **fields):
+        self.events.append((event, fields))
+
+    def flush(self):
+        self._lines.clear()
+
+
+class Backend(asyncio.Protocol):
+    """Connection of a backend server that answers as its owner says."""
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.buffer = b""
+        self.transport = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.owner.connections.append(self)
+
+    def data_received(self, data):
+        self.buffer += data
+        while b"\r\n\r\n" in self.buffer:
+            head, _, rest = self.buffer.partition(b"\r\n\r\n")
+            headers = dict(
+                line.lower().split(b": ", 1)
+                for line in head.split(b"\r\n")[1:]
+            )
+            size = int(headers.get(b"content-length", b"0"))
+            if len(rest) < size:
+                return
+            self.buffer = rest[size:]
+            self.owner.on_request(self, head, headers, rest[:size])
+
+    def connection_lost(self, _error):
+        self.owner.closed.append(self)
+
+    def eof_received(self):
+        return False
+
+    def answer(self, request_id, status=200, extra=b"", body=b"fine"):
+        self.transport.write(
+            b"HTTP/1.1 %d X\r\nid: %s\r\nseal: s\r\n%s"
+            b"Content-Length: %d\r\n\r\n%s"
+            % (status, request_id, extra, len(body), body)
+        )
+
+
+class BackendServer:
+    """A backend server; ``behave`` decides about each request."""
+
+    def __init__(self, host, behave=None):
+        self.requests = []
+        self.connections = []
+        self.closed = []
+        self.behave = behave or (lambda c, h, i: c.answer(i))
+        loop = asyncio.get_running_loop()
+        loop.listeners[(host, 1)] = lambda: Backend(self)
+
+    def on_request(self, connection, head, headers, body):
+        self.requests.append((head, headers, body))
+        self.behave(connection, headers, headers[b"id"])
+
+
+class Member:
+    """One node without its store: gate, origin and links."""
+
+    def __init__(self, name, zone="z1", region="r1", **changes):
+        self.settings = SETTINGS._replace(
+            node=name,
+            zone=zone,
+            region=region,
+            backend=settings.Address(name, 1),
+            outbound=settings.Address(name, 2),
+            peers=settings.Address(name, 5),
+            **changes,
+        )
+        self.log = QuietLog()
+        self.peers = peers.Peers(
+            self.settings,
+            1,
+            placement.PLACEMENTS.get("expected_time"),
+            self.log,
+        )
+        self.gate = gate.Gate(
+            self.settings, DIALECT, self.log, self.peers.own_status_changed
+        )
+        self.origin = origin.Origin(
+            self.settings,
+            DIALECT,
+            self.peers,
+            self.log,
+            lambda size: True,
+            self.gate.find_job,
+        )
+        self.peers.attach(self.gate, self.origin)
+        self.origin.use(routing_table())
+        loop = asyncio.get_running_loop()
+        loop.listeners[self.settings.peers] = self.peers.accept
+
+    def learn(self, other, is_listed=True):
+        self.peers.learn(
+            other.settings.node,
+            *other.settings.peers,
+            other.settings.zone,
+            other.settings.region,
+            is_listed,
+        )
+
+    def tick(self):
+        self.peers.tick()
+        self.gate.tick()
+
+
+class CallerSide:
+    """Stands for the connection of a caller."""
+
+    def __init__(self):
+        self.remote_host = "caller"
+        self.answers = []
+
+    def respond(self, head, body, keep=True):
+        self.answers.append((int(head.split(b" ")[1]), head, body))
+
+
+_ids = itertools.count()
+
+
+def send(member, path=b"/a/x", method=b"GET", body=b"", **headers):
+    """Let a caller send a request; return its connection and exchange."""
+    connection = CallerSide()
+    named = [(b"host", b"h"), (b"id", b"r%d" % next(_ids))]
+    named += [(k.encode(), v) for k, v in headers.items()]
+    request = http1_request(method, path, named, body)
+    return connection, member.origin.handle(connection, request)
+
+
+def http1_request(method, path, headers, body):
+    from clementinekeel.callers import http1 as callers_http1
+
+    now = asyncio.get_running_loop().time()
+    return callers_http1.Request(method, path, headers, body, now)
+
+
+async def settle(seconds=0.05):
+    """Let everything that is due happen."""
+    await asyncio.sleep(seconds)
+
+
+Answer = http1.Answer
