Probe the backend server after a restart; throttle only for lack of room

The entry in the store names the backend server; a restarted node probes it and takes it over. Only refusals for lack of room count for the throttle.

--- a/src/clementinekeel/callers/dialect.py
+++ b/src/clementinekeel/callers/dialect.py
@@ -16,6 +16,8 @@
         Signature of a backend server; only its own answers carry it.
     target : bytes
         Identity of the backend server that is to run the request.
+    instance : bytes
+        Identity of the backend server that answered.
     not_run : bytes
         Present in answers of a backend server that did not run a request.
     retry_after : bytes
@@ -32,6 +34,7 @@
     deadline_ms: bytes
     seal: bytes
     target: bytes
+    instance: bytes
     not_run: bytes
     retry_after: bytes
     calling_service: bytes
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -7,7 +7,7 @@
 
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import transit
-from clementinekeel.runtime import log
+from clementinekeel.runtime import decision_log
 
 SILENCE_MS = 1_500
 """A link with an open question is given up after this silence.
@@ -40,6 +40,8 @@
         Called with this link and each frame.
     on_open, on_lost : callable
         Called with this link when it is connected and when it has ended.
+    decisions : DecisionLog
+        Where the faults of the link are noted.
     """
 
     def __init__(
@@ -47,7 +49,9 @@
         on_frame: Callable[["Link", frames.Frame], None],
         on_open: Callable[["Link"], None],
         on_lost: Callable[["Link"], None],
+        decisions: decision_log.DecisionLog,
     ) -> None:
+        self._decisions = decisions
         self._on_frame = on_frame
         self._on_open = on_open
         self._on_lost = on_lost
@@ -103,9 +107,9 @@
             silent_ms = (now - max(self._asked_at, self._heard_at)) * 1000
             if silent_ms > SILENCE_MS:
                 name = self.peer.node if self.peer else ""
-                log.event(
+                self._decisions.write(
                     "link_silent",
-                    level="WARNING",
+                    False,
                     peer=name,
                     silent_ms=round(silent_ms),
                 )
@@ -128,9 +132,9 @@
         try:
             received = self._reader.feed(data)
         except frames.FrameError as error:
-            log.event(
+            self._decisions.write(
                 "frame_dropped",
-                level="WARNING",
+                False,
                 peer=self.peer.node if self.peer else "",
                 reason=error.reason,
             )
--- a/src/clementinekeel/platform/configuration.py
+++ b/src/clementinekeel/platform/configuration.py
@@ -33,7 +33,7 @@
 
 
 class _ServiceSpec(msgspec.Struct):
-    max_conns: int = 0
+    health_path: str = ""
 
 
 class _LimitsSpec(msgspec.Struct):
@@ -118,16 +118,16 @@
 def _decode(content: bytes) -> table.RoutingTable:
     body = msgspec.json.decode(content, type=_Body)
     routes: list[table.Route] = []
-    connections: dict[str, int] = {}
+    health_paths: dict[str, str] = {}
     limits = table.CallerLimits()
     for entry in body.resources:
         if entry.entry_kind == "routes":
             routes.append(_route(entry))
         elif entry.entry_kind == "services":
             spec = msgspec.json.decode(entry.spec, type=_ServiceSpec)
-            connections[str(entry.metadata["name"])] = spec.max_conns
+            health_paths[str(entry.metadata["name"])] = spec.health_path
         elif entry.entry_kind == "limits":
             limits = _limits(entry)
     return table.RoutingTable(
-        int(body.version, HEX_BASE), routes, connections, limits
+        int(body.version, HEX_BASE), routes, health_paths, limits
     )
--- a/src/clementinekeel/platform/dialect.py
+++ b/src/clementinekeel/platform/dialect.py
@@ -7,6 +7,7 @@
     deadline_ms=b"request-deadline",
     seal=b"response-seal",
     target=b"target-instance",
+    instance=b"instance-id",
     not_run=b"not-executed",
     retry_after=b"retry-after",
     calling_service=b"caller-service",
--- a/src/clementinekeel/platform/settings.py
+++ b/src/clementinekeel/platform/settings.py
@@ -12,8 +12,8 @@
 
 PATH_VARIABLE = "CLEMENTINEKEEL_SETTINGS"
 MS_PER_S = 1000
-METRICS_OFFSET = 1
-"""The second port for communication between nodes serves the metrics."""
+METRICS_PORT = 9102
+"""The port that deploy/system.toml names for the metrics."""
 
 
 class _Limits(msgspec.Struct):
@@ -126,7 +126,7 @@
         health=_address(listen.ready),
         announcements=_address(listen.control),
         peers=settings.Address(machine.ip, first_port),
-        metrics_port=first_port + METRICS_OFFSET,
+        metrics=settings.Address(machine.ip, METRICS_PORT),
         store=_address(store.address),
         lease_min_ms=_ms(store.ttl_min_s),
         store_reads_per_s=store.reads_per_s,
--- a/src/clementinekeel/routing/table.py
+++ b/src/clementinekeel/routing/table.py
@@ -73,8 +73,8 @@
         Version of the configuration.
     routes : sequence of Route
         Routes in any order.
-    connections : mapping
-        Most connections to one endpoint, for each service.
+    health_paths : mapping
+        Path of the health check, for each service.
     limits : CallerLimits
         Limits on callers.
     """
@@ -83,12 +83,12 @@
         self,
         version: int,
         routes: Sequence[Route],
-        connections: Mapping[str, int],
+        health_paths: Mapping[str, str],
         limits: CallerLimits,
     ) -> None:
         self.version = version
         self.limits = limits
-        self.connections = connections
+        self.health_paths = health_paths
         self.routes = routes
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -50,8 +50,14 @@
         self._decisions = decisions
         self._loop = asyncio.get_running_loop()
         self._is_reachable: bool | None = None
+        self._taken_at = self._loop.time()
         peers.on_configuration = self.take
 
+    @property
+    def age_s(self) -> float:
+        """Time since the version in force was taken, in seconds."""
+        return self._loop.time() - self._taken_at
+
     async def follow(self) -> None:
         """Read the configuration and follow its changes."""
         backoff = registration.Backoff()
@@ -92,6 +98,7 @@
         before = self._origin.version
         if not self._origin.use(routing):
             return
+        self._taken_at = self._loop.time()
         self._peers.configuration = (routing.version, content)
         self._decisions.write(
             "configuration_in_force",
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -17,6 +17,7 @@
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import transit as transit_module
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
 DEADLINE_GRACE_S = 0.2
@@ -31,6 +32,8 @@
 the last ones are taken, which costs more than those slots give."""
 FEW_SLOTS = 20
 """With fewer slots, leaving one unused costs more than that."""
+PROBE_TIMEOUT_S = 0.5
+"""A probe takes 6 ms; the backend server is on the same VM."""
 DOWN_RETRY_S = 1.0
 """How long a backend server that can't be reached gets no requests; its next
 heartbeat ends this sooner."""
@@ -85,7 +88,9 @@
         dialect: dialect_module.Dialect,
         decisions: decision_log.DecisionLog,
         on_status: Callable[[], None],
+        metrics: metrics_module.NodeMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._dialect = dialect
         self._decisions = decisions
@@ -104,7 +109,6 @@
         self._down_until = 0.0
         self._cold_until = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self.counts: dict[tuple[str, str], int] = {}
 
     @property
     def status(self) -> frames.EndpointStatus:
@@ -125,6 +129,11 @@
             cold_ms,
         )
 
+    @property
+    def backend(self) -> heartbeats.Heartbeat | None:
+        """Newest heartbeat of the backend server, or None."""
+        return self._beats.latest
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is held."""
@@ -139,6 +148,36 @@
         """Return the running request with an identifier, or None."""
         return self._by_request.get(request_id)
 
+    async def probe(self, path: str) -> http1.Answer | None:
+        """Ask the backend server for its health; None without an answer."""
+        answered: asyncio.Future[http1.Outcome] = self._loop.create_future()
+
+        def done(outcome: http1.Outcome) -> None:
+            if not answered.done():
+                answered.set_result(outcome)
+
+        # Its answer carries no request identifier.
+        pool = local.LocalPool(*self._settings.backend, b"")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await pool.connect()
+                head = f"GET {path} HTTP/1.1\r\nHost: backend\r\n\r\n"
+                connection.send(
+                    head.encode(),
+                    b"",
+                    b"",
+                    False,
+                    done,
+                )
+                outcome = await answered
+        except (OSError, TimeoutError) as error:
+            self._decisions.write(
+                "probe_failed", False, error=type(error).__name__
+            )
+            return None
+        connection.close()
+        return outcome if isinstance(outcome, http1.Answer) else None
+
     def heartbeat(self, beat: heartbeats.Heartbeat) -> None:
         """Take over what the backend server says of itself."""
         before = self.status
@@ -463,8 +502,10 @@
 
     def _note(self, job: Job, note: str, is_routine: bool) -> None:
         name, _, reason = note.partition(":")
-        key = ("answered" if name == "answered" else "ended", name)
-        self.counts[key] = self.counts.get(key, 0) + 1
+        now = self._loop.time()
+        wait_ms = ((job.started_at or now) - job.arrived_at) * 1000
+        service_ms = (now - job.sent_at) * 1000 if job.sent_at else None
+        self._metrics.on_job(name, job.offer.rank, wait_ms, service_ms)
         self._decisions.write(
             "job_ended",
             is_routine,
@@ -472,15 +513,11 @@
             outcome=name,
             reason=reason,
             rank=job.offer.rank,
-            waited_ms=round(
-                ((job.started_at or self._loop.time()) - job.arrived_at) * 1000
-            ),
+            waited_ms=round(wait_ms),
             late_ms=round(
                 job.offer.budget_ms - (job.expires_at - job.arrived_at) * 1000
             ),
-            service_ms=round((self._loop.time() - job.sent_at) * 1000)
-            if job.sent_at
-            else None,
+            service_ms=None if service_ms is None else round(service_ms),
             running=self._queue.running,
             queued=self._queue.queued,
             slots=self._queue.slots,
--- /dev/null
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -0,0 +1,132 @@
+"""Counters and latency histograms of a forwarding node."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+PREFIX = "clementinekeel_"
+BUCKETS_MS: tuple[float, ...] = (
+    1,
+    2,
+    5,
+    10,
+    20,
+    50,
+    100,
+    200,
+    500,
+    1_000,
+    2_000,
+    5_000,
+)
+"""Upper bounds; from a local call of a millisecond to the longest deadline."""
+
+
+class Sample(NamedTuple):
+    """A value that is read when the metrics are asked for."""
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+class Description(NamedTuple):
+    """Name without the common prefix, and meaning, of one metric."""
+
+    name: str
+    meaning: str
+
+
+GAUGES = (
+    Description("slots", "Slots of the backend server that are used."),
+    Description("running", "Requests at the backend server."),
+    Description("queued", "Requests that wait for a slot."),
+    Description("service_ms", "Average time for which a slot is held."),
+    Description("configuration_version", "Version in force, 0 for none."),
+    Description("configuration_age_s", "Time since it came into force."),
+    Description("nodes", "Known nodes, by state usable or unusable."),
+    Description("inbound_links", "Links that other nodes opened."),
+    Description("caller_connections", "Open connections of callers."),
+    Description("admitted_share", "Share of a route's requests that begin."),
+    Description("listed", "1 if this node's entry is in the store."),
+    Description("store_calls", "Calls to the store since the start."),
+    Description("store_failures", "Those without a usable answer."),
+    Description("log_lines_left_out", "Log lines not written, by rule."),
+)
+
+
+class NodeMetrics:
+    """All metrics of one node, rendered as text on demand."""
+
+    def __init__(self) -> None:
+        self._registry = collectors.Registry()
+        self._requests = collectors.Counter(
+            PREFIX + "requests_total",
+            "Requests of callers that ended here, by reason and status.",
+            registry=self._registry,
+        )
+        self._jobs = collectors.Counter(
+            PREFIX + "jobs_total",
+            "Requests for the backend server that ended, by outcome.",
+            registry=self._registry,
+        )
+        self._request_ms = collectors.Histogram(
+            PREFIX + "request_duration_ms",
+            "Time from a request's first byte to its answer, by rank.",
+            buckets=list(BUCKETS_MS),
+            registry=self._registry,
+        )
+        self._wait_ms = collectors.Histogram(
+            PREFIX + "slot_wait_ms",
+            "Time for which a request waited for a slot, by rank.",
+            buckets=list(BUCKETS_MS),
+            registry=self._registry,
+        )
+        self._service_ms = collectors.Histogram(
+            PREFIX + "backend_duration_ms",
+            "Time of the backend server for a request, by rank.",
+            buckets=list(BUCKETS_MS),
+            registry=self._registry,
+        )
+        self._gauges = {
+            item.name: collectors.Gauge(
+                PREFIX + item.name, item.meaning, registry=self._registry
+            )
+            for item in GAUGES
+        }
+
+    def on_request(
+        self, reason: str, status: int, rank: int, duration_ms: float
+    ) -> None:
+        """Count a request of a caller."""
+        self._requests.inc({"reason": reason, "status": str(status)})
+        self._request_ms.observe({"rank": str(rank)}, duration_ms)
+
+    def on_job(
+        self,
+        outcome: str,
+        rank: int,
+        wait_ms: float,
+        service_ms: float | None,
+    ) -> None:
+        """Count a request for the backend server."""
+        labels = {"rank": str(rank)}
+        self._jobs.inc({"outcome": outcome})
+        self._wait_ms.observe(labels, wait_ms)
+        if service_ms is not None:
+            self._service_ms.observe(labels, service_ms)
+
+    def render(self, samples: Iterable[Sample]) -> bytes:
+        """Return all metrics in the text format.
+
+        Parameters
+        ----------
+        samples : iterable of Sample
+            Present values of the gauges.
+        """
+        for sample in samples:
+            self._gauges[sample.name].set(sample.labels, sample.value)
+        content, _ = renderer.render(self._registry, [])
+        return bytes(content)
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -1,7 +1,7 @@
 """A forwarding node: its listeners, its tasks, and its stop."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import random
 import signal
 from typing import Any
@@ -18,6 +18,7 @@
 from clementinekeel.runtime import errors
 from clementinekeel.sidecar import configuration
 from clementinekeel.sidecar import gate as gate_module
+from clementinekeel.sidecar import metrics
 from clementinekeel.sidecar import origin as origin_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import registration
@@ -39,6 +40,7 @@
 HANDOVER_S = 1.4
 """Time after the signal to stop for which other nodes may still send requests
 to the backend server; the rest of the notice time is enough to answer them."""
+METRICS_PATH = b"/metrics"
 SETTINGS_POLL_S = 2.0
 """Reading and comparing the file takes half a millisecond."""
 STOP_POLL_S = 0.05
@@ -140,6 +142,33 @@
             connection.respond(*http1.own_answer(status, reason))
 
 
+class MetricsServer:
+    """Answers questions for the metrics."""
+
+    is_stopping = False
+    limits = table.CallerLimits(body_bytes=1024)
+
+    def __init__(self, path: bytes, render: Callable[[], bytes]) -> None:
+        self._path = path
+        self._render = render
+
+    def has_room(self, size: int) -> bool:
+        """Questions have no body worth limiting."""
+        return True
+
+    def handle(
+        self, connection: http1.ServerConnection, request: http1.Request
+    ) -> None:
+        """Answer one question."""
+        if request.target.partition(b"?")[0] != self._path:
+            connection.respond(*http1.own_answer(404, "path"))
+            return
+        head = (
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
+        )
+        connection.respond(head, self._render())
+
+
 class Node:
     """All parts of one node."""
 
@@ -150,6 +179,7 @@
         self._wiring = wiring
         self._loop = asyncio.get_running_loop()
         self._decisions = decision_log.DecisionLog(settings.node)
+        self._metrics = metrics.NodeMetrics()
         incarnation = random.SystemRandom().getrandbits(53)
         self._peers = peers_module.Peers(
             settings,
@@ -161,7 +191,8 @@
             settings,
             wiring.dialect,
             self._decisions,
-            self._peers.own_status_changed,
+            self._on_status,
+            self._metrics,
         )
         self._origin = origin_module.Origin(
             settings,
@@ -170,13 +201,20 @@
             self._decisions,
             self._has_room,
             self._gate.find_job,
+            self._metrics,
         )
         self._peers.attach(self._gate, self._origin)
         self._connections: set[http1.ServerConnection] = set()
         self._stores = calls.StoreConnections(*settings.store)
         store = wiring.make_store(self._stores)
         self._registration = registration.Registration(
-            settings, store, self._peers, self._decisions
+            settings,
+            store,
+            self._peers,
+            self._decisions,
+            lambda: self._gate.backend,
+            self._origin.health_path,
+            self._on_earlier_entry,
         )
         self._configuration = configuration.ConfigurationFollower(
             wiring.configuration_key,
@@ -187,7 +225,7 @@
             self._decisions,
         )
         self._is_stopping = False
-        self._stop_at = 0.0
+        self._probe: asyncio.Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -210,6 +248,12 @@
                 settings.announcements, lambda: self._accept(control)
             ),
             await self._listen(settings.health, lambda: self._accept(control)),
+            await self._listen(
+                settings.metrics,
+                lambda: self._accept(
+                    MetricsServer(METRICS_PATH, self._render_metrics)
+                ),
+            ),
             await self._listen(
                 settings.outbound, lambda: self._accept(self._origin)
             ),
@@ -233,6 +277,47 @@
         self._decisions.write("node_stopped", False)
         self._decisions.flush()
 
+    def _on_status(self) -> None:
+        self._peers.own_status_changed()
+        self._registration.refresh()
+
+    def _on_earlier_entry(self, entry: registration.Entry) -> None:
+        is_known = entry.endpoint and entry.health_path
+        if is_known and self._gate.backend is None:
+            self._probe = self._loop.create_task(self._adopt(entry))
+
+    async def _adopt(self, entry: registration.Entry) -> None:
+        """Use the backend server of an earlier process if it is healthy.
+
+        The alternative is to wait for its next heartbeat: after a restart of
+        all nodes that leaves the first ones back with all the load.
+        """
+        answer = await self._gate.probe(entry.health_path)
+        named = dict(answer.headers) if answer is not None else {}
+        is_same = (
+            answer is not None
+            and answer.status == 200
+            and named.get(self._wiring.dialect.instance, b"").decode()
+            == entry.endpoint
+        )
+        self._decisions.write(
+            "backend_probed", False, endpoint=entry.endpoint, is_same=is_same
+        )
+        if is_same and self._gate.backend is None:
+            self._gate.heartbeat(
+                heartbeats.Heartbeat(
+                    endpoint=entry.endpoint,
+                    incarnation_ms=entry.incarnation_ms,
+                    sequence=entry.sequence,
+                    service=entry.service,
+                    address=f"{self._settings.backend.host}:"
+                    f"{self._settings.backend.port}",
+                    slots=entry.slots,
+                    state=heartbeats.EndpointState.READY,
+                    cold_ms=0,
+                )
+            )
+
     async def _listen(
         self,
         address: settings_module.Address,
@@ -261,6 +346,34 @@
         held = sum(c.held_bytes for c in self._connections) + size
         return held < self._settings.memory_mb * MIB * BODY_SHARE
 
+    def _render_metrics(self) -> bytes:
+        return self._metrics.render(self._samples())
+
+    def _samples(self) -> Iterator[metrics.Sample]:
+        def sample(name: str, value: float, **labels: str) -> metrics.Sample:
+            return metrics.Sample(name, labels, value)
+
+        queue = self._gate.queue
+        yield sample("slots", queue.slots)
+        yield sample("running", queue.running)
+        yield sample("queued", queue.queued)
+        yield sample("service_ms", queue.service_ms)
+        yield sample("configuration_version", self._origin.version)
+        yield sample("configuration_age_s", self._configuration.age_s)
+        known = list(self._peers.known)
+        usable = sum(peer.is_usable for peer in known)
+        yield sample("nodes", usable, state="usable")
+        yield sample("nodes", len(known) - usable, state="unusable")
+        yield sample("inbound_links", self._peers.inbound_links)
+        yield sample("caller_connections", len(self._connections))
+        for route, share in self._origin.admitted_shares.items():
+            yield sample("admitted_share", share, route=route)
+        yield sample("listed", float(self._registration.is_listed))
+        yield sample("store_calls", self._stores.calls)
+        yield sample("store_failures", self._stores.failures)
+        for rule, count in self._decisions.left_out.items():
+            yield sample("log_lines_left_out", count, rule=rule)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -17,6 +17,7 @@
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import gate as gate_module
+from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
 
@@ -46,8 +47,11 @@
 THROTTLED_RETRY_MS = 250
 """Retry-After of throttled requests: long enough for the load to change, short
 enough to be answered within the latency objective."""
-STARVED_STATUSES = (503, 504)
-"""Own answers that mean lack of room: refused, or not answered in time."""
+STARVED_REASONS = frozenset(
+    ("overload", "displaced", "deadline", "timeout", "throttled")
+)
+"""Ends that mean lack of room. Endpoints that are unknown, leaving or faulty
+are not among them: fewer requests would not help."""
 SIZE_GAIN = 0.1
 """Weight of a new answer in the average size of a route's answers."""
 
@@ -104,7 +108,9 @@
         decisions: decision_log.DecisionLog,
         has_room: Callable[[int], bool],
         find_job: Callable[[str], gate_module.Job | None],
+        metrics: metrics_module.NodeMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._dialect = dialect
         self._peers = peers
@@ -123,7 +129,6 @@
         self._throttles: dict[str, throttle.RouteThrottle] = {}
         self.is_stopping = False
         self.closes_at: float | None = None
-        self.counts: dict[tuple[str, str], int] = {}
         self._own_headers = frozenset(
             (
                 dialect.deadline_ms,
@@ -146,6 +151,15 @@
         """Version of the configuration in force; 0 if there is none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def admitted_shares(self) -> dict[str, float]:
+        """Share of the requests that may begin, for each throttled route."""
+        now = self._loop.time()
+        return {
+            name: limiter.admitted_share(now)
+            for name, limiter in self._throttles.items()
+        }
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being handled."""
@@ -155,6 +169,12 @@
         """Tell whether a body of this size may be held in memory."""
         return self._has_room(size)
 
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health check, empty if unknown."""
+        if self._table is None:
+            return ""
+        return self._table.health_paths.get(service, "")
+
     def use(self, routing: table.RoutingTable) -> bool:
         """Put a configuration in force unless it is older."""
         if routing.version <= self.version:
@@ -439,13 +459,10 @@
         exchange.connection.respond(head, body)
         self._end(exchange, reason, status)
 
-    def _account(self, exchange: Exchange, status: int) -> None:
+    def _account(self, exchange: Exchange, reason: str) -> None:
         """Tell the chain whether a request ended for lack of room."""
         answer = exchange.answer
-        is_starved = (
-            status in STARVED_STATUSES
-            and exchange.last_reason not in ARRIVED_REASONS
-        )
+        is_starved = reason in STARVED_REASONS
         if answer is not None:
             is_starved = answer.is_starved
         parent = exchange.parent
@@ -465,10 +482,9 @@
         if exchange.timer is not None:
             exchange.timer.cancel()
         self._active.discard(exchange)
-        self._account(exchange, status)
-        key = (reason, str(status))
-        self.counts[key] = self.counts.get(key, 0) + 1
-        now = self._loop.time()
+        self._account(exchange, reason)
+        duration_ms = (self._loop.time() - exchange.started_at) * 1000
+        self._metrics.on_request(reason, status, exchange.rank, duration_ms)
         route = exchange.route
         fields: dict[str, Any] = {
             "request_id": exchange.request_id,
@@ -481,7 +497,7 @@
             "caller": exchange.connection.remote_host,
             "offers": exchange.offers,
             "tried": ",".join(exchange.tried),
-            "ms": round((now - exchange.started_at) * 1000),
+            "ms": round(duration_ms),
             "version": self.version,
         }
         self._decisions.write("request_ended", status < 400, **fields)
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -10,7 +10,6 @@
 from clementinekeel.nodes import transit
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
-from clementinekeel.runtime import log
 from clementinekeel.sidecar import gate as gate_module
 from clementinekeel.sidecar import settings as settings_module
 
@@ -305,7 +304,10 @@
     def accept(self) -> link_module.Link:
         """Return the protocol of a connection that another node opens."""
         return link_module.Link(
-            self._on_inbound_frame, self._on_inbound_open, self._on_inbound_end
+            self._on_inbound_frame,
+            self._on_inbound_open,
+            self._on_inbound_end,
+            self._decisions,
         )
 
     def close(self) -> None:
@@ -354,6 +356,7 @@
                 lambda link, frame: self._on_outbound_frame(peer, link, frame),
                 self._on_outbound_open,
                 lambda link: self._on_outbound_end(peer, link),
+                self._decisions,
             )
 
         try:
@@ -516,9 +519,9 @@
     def _on_hello(self, link: link_module.Link, hello: frames.Hello) -> None:
         link.peer = hello
         if hello.protocol != frames.PROTOCOL_VERSION:
-            log.event(
+            self._decisions.write(
                 "protocol_mismatch",
-                level="ERROR",
+                False,
                 peer=hello.node,
                 version=hello.protocol,
             )
--- a/src/clementinekeel/sidecar/settings.py
+++ b/src/clementinekeel/sidecar/settings.py
@@ -27,8 +27,8 @@
         Where the backend server sends its heartbeats.
     peers : Address
         Where other nodes connect.
-    metrics_port : int
-        TCP port of the metrics.
+    metrics : Address
+        Where the metrics are served.
     store : Address
         The platform's metadata store.
     lease_min_ms : int
@@ -62,7 +62,7 @@
     health: Address
     announcements: Address
     peers: Address
-    metrics_port: int
+    metrics: Address
     store: Address
     lease_min_ms: int
     store_reads_per_s: int
--- /dev/null
+++ b/tests/sidecar/test_metrics.py
@@ -0,0 +1,20 @@
+"""Metrics that explain a failure afterwards."""
+
+from clementinekeel.sidecar import metrics
+
+
+def test_counts_and_latencies_are_rendered():
+    held = metrics.NodeMetrics()
+    held.on_request("throttled", 503, 5, 0.4)
+    held.on_job("answered", 1, 12.0, 80.0)
+    text = held.render([metrics.Sample("queued", {}, 3)]).decode()
+    assert 'requests_total{reason="throttled",status="503"} 1' in text
+    assert 'request_duration_ms_bucket{le="1.0",rank="5"} 1' in text
+    assert 'slot_wait_ms_bucket{le="20.0",rank="1"} 1' in text
+    assert "clementinekeel_queued 3" in text
+
+
+def test_two_nodes_in_one_process_do_not_share_counts():
+    first, second = metrics.NodeMetrics(), metrics.NodeMetrics()
+    first.on_job("answered", 1, 12.0, None)
+    assert "answered" not in second.render([]).decode()
--- /dev/null
+++ b/tests/sidecar/test_registration.py
@@ -0,0 +1,239 @@
+"""The entry in the store and the list of nodes, with the store's faults."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from clementinekeel.sidecar import registration
+from clementinekeel.store import metadata
+from tests import memory_loop
+from tests.sidecar import world
+
+K = metadata.FailureKind
+
+
+class MemoryStore:
+    """Store with leases and watches; ``failure`` is raised by each call."""
+
+    def __init__(self):
+        self.items = {}
+        self.leases = set()
+        self.history = []
+        self.revision = 10
+        self.failure = None
+        self.writes = 0
+        self.changed = asyncio.Event()
+
+    def _check(self, step):
+        if self.failure is not None:
+            raise metadata.MetadataError(step, "test", self.failure)
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        item = metadata.Item(key, value, self.revision, lease)
+        self.items[key] = item
+        self._record(item)
+        return self.revision
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._record(metadata.Removed(key, self.revision))
+
+    def end_lease(self, lease):
+        self.leases.discard(lease)
+        for key in [k for k, i in self.items.items() if i.lease == lease]:
+            self.remove(key)
+
+    def _record(self, event):
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def read(self, key):
+        self._check("read")
+        found = [self.items[key]] if key in self.items else []
+        return metadata.Snapshot(found, self.revision)
+
+    async def read_all(self, prefix):
+        self._check("read all")
+        found = [i for k, i in self.items.items() if k.startswith(prefix)]
+        return metadata.Snapshot(found, self.revision)
+
+    async def watch(self, prefix, after):
+        while True:
+            self._check("watch")
+            events = [
+                e
+                for e in self.history
+                if e.revision > after and e.key.startswith(prefix)
+            ]
+            if events:
+                return metadata.Changes(events, self.revision)
+            await self.changed.wait()
+
+    async def grant(self, ttl_ms):
+        self._check("grant")
+        self.leases.add(len(self.leases) + 1)
+        return len(self.leases)
+
+    async def renew(self, lease):
+        self._check("renew")
+        if lease not in self.leases:
+            raise metadata.MetadataError("renew", "404", K.NO_LEASE)
+
+    async def write(self, key, value, lease, expected_revision):
+        self._check("write")
+        held = self.items.get(key)
+        if (held.revision if held else 0) != expected_revision:
+            raise metadata.MetadataError("write", "412", K.CONFLICT)
+        self.writes += 1
+        return self.put(key, value, lease)
+
+
+def entry(name):
+    return msgspec.json.encode(registration.Entry(name, 5, "z1", "r1"))
+
+
+def register(member, store, on_earlier=lambda entry: None):
+    return registration.Registration(
+        member.settings,
+        store,
+        member.peers,
+        member.log,
+        lambda: member.gate.backend,
+        lambda service: "/health",
+        on_earlier,
+    )
+
+
+def run_registered(function):
+    async def main():
+        member = world.Member("n1")
+        member.gate.heartbeat(world.beat("n1"))
+        store = MemoryStore()
+        own = register(member, store)
+        tasks = [
+            asyncio.ensure_future(own.keep()),
+            asyncio.ensure_future(own.follow()),
+        ]
+        await world.settle(1)
+        await function(store, own, member)
+        for task in tasks:
+            task.cancel()
+
+    memory_loop.run(main)
+
+
+def test_node_lists_itself_and_learns_of_others():
+    async def scenario(store, own, member):
+        assert list(store.items) == ["nodes/n1"]
+        store.put("nodes/n2", entry("n2"))
+        await world.settle(1)
+        assert {p.node for p in member.peers.known} == {"n1", "n2"}
+
+    run_registered(scenario)
+
+
+@pytest.mark.parametrize("how", ["lease", "key"])
+def test_entry_that_was_taken_away_is_back_within_two_seconds(how):
+    """The store revokes entries, and no call shows it but the watch."""
+
+    async def scenario(store, own, member):
+        if how == "lease":
+            store.end_lease(own._lease)
+        else:
+            store.remove("nodes/n1")
+        await world.settle(2)
+        assert "nodes/n1" in store.items
+
+    run_registered(scenario)
+
+
+@pytest.mark.parametrize("kind", [K.REFUSED, K.UNANSWERED, K.MALFORMED])
+def test_entry_is_back_within_two_seconds_of_the_stores_return(kind):
+    async def scenario(store, own, member):
+        store.failure = kind
+        store.changed.set()
+        store.end_lease(own._lease)
+        await world.settle(20)
+        assert "nodes/n1" not in store.items
+        store.failure = None
+        await world.settle(2)
+        assert "nodes/n1" in store.items
+
+    run_registered(scenario)
+
+
+def test_restarted_node_takes_its_earlier_entry_over():
+    """Writing it again would wake the watches of all nodes."""
+
+    async def scenario(store, own, member):
+        seen = []
+        again = register(member, store, seen.append)
+        task = asyncio.ensure_future(again.keep())
+        await world.settle(1)
+        task.cancel()
+        assert again.is_listed
+        assert store.writes == 1
+        assert [entry.endpoint for entry in seen] == ["e-n1"]
+
+    run_registered(scenario)
+
+
+def test_nodes_are_kept_while_the_store_is_away():
+    async def scenario(store, own, member):
+        other = world.Member("n2")
+        store.put("nodes/n2", entry("n2"))
+        await world.settle(1)
+        store.failure = K.UNANSWERED
+        store.changed.set()
+        await world.settle(30)
+        assert {p.node for p in member.peers.known} == {"n1", "n2"}
+        assert other.settings.node == "n2"
+
+    run_registered(scenario)
+
+
+def test_discarded_history_is_followed_by_a_full_read():
+    async def scenario(store, own, member):
+        store.failure = K.COMPACTED
+        store.changed.set()
+        await world.settle(0.1)
+        store.put("nodes/n2", entry("n2"))
+        store.history.clear()
+        store.failure = None
+        await world.settle(2)
+        assert {p.node for p in member.peers.known} == {"n1", "n2"}
+
+    run_registered(scenario)
+
+
+def test_entry_follows_the_backend_server():
+    """A restarted node asks the one that its entry names."""
+
+    async def scenario(store, own, member):
+        member.gate.heartbeat(world.beat("n1", 2))
+        own.refresh()
+        await world.settle(1)
+        assert store.writes == 1
+        new = world.beat("n1", endpoint="e-new", incarnation_ms=9)
+        member.gate.heartbeat(new)
+        own.refresh()
+        await world.settle(1)
+        assert store.writes == 2
+        assert b"e-new" in store.items["nodes/n1"].value
+
+    run_registered(scenario)
+
+
+def test_malformed_entry_is_passed_over():
+    async def scenario(store, own, member):
+        store.put("nodes/n2", b"\xff{")
+        store.put("nodes/n3", entry("n3"))
+        await world.settle(1)
+        assert {p.node for p in member.peers.known} == {"n1", "n3"}
+        assert "entry_malformed" in [name for name, _ in member.log.events]
+
+    run_registered(scenario)
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -10,6 +10,7 @@
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import gate
+from clementinekeel.sidecar import metrics
 from clementinekeel.sidecar import origin
 from clementinekeel.sidecar import peers
 from clementinekeel.sidecar import settings
@@ -19,6 +20,7 @@
     deadline_ms=b"deadline",
     seal=b"seal",
     target=b"target",
+    instance=b"instance",
     not_run=b"not-run",
     retry_after=b"retry-after",
     calling_service=b"caller",
@@ -35,7 +37,7 @@
     health=settings.Address("vm1", 3),
     announcements=settings.Address("vm1", 4),
     peers=settings.Address("vm1", 5),
-    metrics_port=6,
+    metrics=settings.Address("vm1", 6),
     store=settings.Address("store", 1),
     lease_min_ms=1_000,
     store_reads_per_s=2_000,
@@ -67,7 +69,9 @@
 
 
 def routing_table(version=1, routes=(ROUTE, BOOKING)):
-    return table.RoutingTable(version, routes, {}, table.CallerLimits())
+    return table.RoutingTable(
+        version, routes, {"s": "/health"}, table.CallerLimits()
+    )
 
 
 def beat(node, sequence=1, **changes):
@@ -168,6 +172,7 @@
             **changes,
         )
         self.log = QuietLog()
+        self.metrics = metrics.NodeMetrics()
         self.peers = peers.Peers(
             self.settings,
             1,
@@ -175,7 +180,11 @@
             self.log,
         )
         self.gate = gate.Gate(
-            self.settings, DIALECT, self.log, self.peers.own_status_changed
+            self.settings,
+            DIALECT,
+            self.log,
+            self.peers.own_status_changed,
+            self.metrics,
         )
         self.origin = origin.Origin(
             self.settings,
@@ -184,6 +193,7 @@
             self.log,
             lambda size: True,
             self.gate.find_job,
+            self.metrics,
         )
         self.peers.attach(self.gate, self.origin)
         self.origin.use(routing_table())
