Confirm a backend server before its first use; prefer the own zone

A heartbeat of an unknown backend server counts once the server answers its health check as itself or sends a newer heartbeat; one that left unknown is refused for 10 s.

--- a/src/clementinekeel/membership/heartbeats.py
+++ b/src/clementinekeel/membership/heartbeats.py
@@ -7,6 +7,10 @@
 import enum
 from typing import NamedTuple
 
+LATE_S = 10.0
+"""How long the heartbeats of a backend server that left unknown are refused;
+they arrive up to a few seconds late."""
+
 
 class EndpointState(enum.StrEnum):
     """What a backend server says of itself."""
@@ -49,14 +53,23 @@
     def __init__(self) -> None:
         self._latest: Heartbeat | None = None
         self._removed: dict[str, int] = {}
+        self._unknown_until: dict[str, float] = {}
 
     @property
     def latest(self) -> Heartbeat | None:
         """Newest heartbeat, or None if no backend server is known."""
         return self._latest
 
-    def accept(self, beat: Heartbeat) -> bool:
-        """Take a heartbeat over if it is newer; tell whether it was."""
+    def accept(self, beat: Heartbeat, now: float) -> bool:
+        """Take a heartbeat over if it is newer; tell whether it was.
+
+        Parameters
+        ----------
+        now : float
+            The runtime's clock, in seconds.
+        """
+        if now < self._unknown_until.get(beat.endpoint, now):
+            return False
         removed_ms = self._removed.get(beat.endpoint)
         if removed_ms is not None and beat.incarnation_ms <= removed_ms:
             return False
@@ -66,7 +79,7 @@
         self._latest = beat
         return True
 
-    def remove(self, endpoint: str) -> bool:
+    def remove(self, endpoint: str, now: float) -> bool:
         """Note that a backend server leaves; tell whether it was in use.
 
         Its later heartbeats are ignored: one that was delayed would bring
@@ -74,6 +87,8 @@
         """
         held = self._latest
         if held is None or held.endpoint != endpoint:
+            # A process that has just started knows no incarnation to refuse.
+            self._unknown_until[endpoint] = now + LATE_S
             return False
         self._removed[endpoint] = held.incarnation_ms
         self._latest = None
--- a/src/clementinekeel/routing/placement.py
+++ b/src/clementinekeel/routing/placement.py
@@ -24,10 +24,10 @@
 TIER_MS = {Tier.ZONE: 0.0, Tier.REGION: 6.0, Tier.REMOTE: 90.0}
 """Cost of a distance: the round trip, and for other regions half of it again,
 since their link is shared by all."""
-TIER_MS_PER_KB = {Tier.ZONE: 0.0, Tier.REGION: 8.0, Tier.REMOTE: 24.0}
+TIER_MS_PER_KB = {Tier.ZONE: 0.0, Tier.REGION: 20.0, Tier.REMOTE: 40.0}
 """Cost of each KB over a distance. Links between zones and regions are billed
-by volume; a lookup of 5 KB waits 40 ms, a recording of 60 KB half a second for
-a near endpoint before it leaves the zone."""
+by volume: a lookup of 5 KB waits 100 ms for an endpoint of its zone before it
+leaves it, and a recording of 60 KB leaves it only when there is no other."""
 EXPLORED_SHARE = 1 / 32
 """Requests that go to any endpoint nearby, so that an endpoint that was slow
 or is new is measured again."""
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -182,7 +182,7 @@
         """Take over what the backend server says of itself."""
         before = self.status
         held = self._beats.latest
-        if not self._beats.accept(beat):
+        if not self._beats.accept(beat, self._loop.time()):
             self._decisions.write(
                 "heartbeat_outdated",
                 False,
@@ -208,7 +208,7 @@
     def leave(self, endpoint: str) -> None:
         """Note that the backend server goes; it gets no new requests."""
         before = self.status
-        if self._beats.remove(endpoint):
+        if self._beats.remove(endpoint, self._loop.time()):
             self._apply(self._queue.drop_all("leaving"))
             self._report(before)
 
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -16,6 +16,7 @@
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import errors
+from clementinekeel.sidecar import adoption
 from clementinekeel.sidecar import configuration
 from clementinekeel.sidecar import gate as gate_module
 from clementinekeel.sidecar import metrics
@@ -79,13 +80,15 @@
     def __init__(
         self,
         wiring: Wiring,
-        gate: gate_module.Gate,
+        on_heartbeat: Callable[[heartbeats.Heartbeat], None],
+        on_leave: Callable[[str], None],
         is_ready: Callable[[], bool],
         decisions: decision_log.DecisionLog,
         backend_address: str,
     ) -> None:
         self._wiring = wiring
-        self._gate = gate
+        self._on_heartbeat = on_heartbeat
+        self._on_leave = on_leave
         self._is_ready = is_ready
         self._decisions = decisions
         self._backend_address = backend_address
@@ -110,7 +113,7 @@
             if request.method == b"PUT":
                 self._heartbeat(connection, endpoint, request.body)
             elif request.method == b"DELETE":
-                self._gate.leave(endpoint)
+                self._on_leave(endpoint)
                 self._reply(connection, 200, "left")
             else:
                 self._reply(connection, 400, "method")
@@ -129,7 +132,7 @@
             )
             self._reply(connection, 400, "heartbeat")
             return
-        self._gate.heartbeat(beat)
+        self._on_heartbeat(beat)
         self._reply(connection, 200, "ok")
 
     def _reply(
@@ -225,7 +228,11 @@
             self._decisions,
         )
         self._is_stopping = False
-        self._probe: asyncio.Task[None] | None = None
+        backend = settings.backend
+        self._backend_address = f"{backend.host}:{backend.port}"
+        self._adoption = adoption.Adoption(
+            self._gate, wiring.dialect.instance, self._decisions
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -237,10 +244,11 @@
         settings = self._settings
         control = ControlServer(
             self._wiring,
-            self._gate,
+            self._on_heartbeat,
+            self._on_leave,
             lambda: self.is_ready,
             self._decisions,
-            f"{settings.backend.host}:{settings.backend.port}",
+            self._backend_address,
         )
         servers = [
             await self._listen(settings.peers, self._peers.accept),
@@ -282,41 +290,15 @@
         self._registration.refresh()
 
     def _on_earlier_entry(self, entry: registration.Entry) -> None:
-        is_known = entry.endpoint and entry.health_path
-        if is_known and self._gate.backend is None:
-            self._probe = self._loop.create_task(self._adopt(entry))
-
-    async def _adopt(self, entry: registration.Entry) -> None:
-        """Use the backend server of an earlier process if it is healthy.
-
-        The alternative is to wait for its next heartbeat: after a restart of
-        all nodes that leaves the first ones back with all the load.
-        """
-        answer = await self._gate.probe(entry.health_path)
-        named = dict(answer.headers) if answer is not None else {}
-        is_same = (
-            answer is not None
-            and answer.status == 200
-            and named.get(self._wiring.dialect.instance, b"").decode()
-            == entry.endpoint
-        )
-        self._decisions.write(
-            "backend_probed", False, endpoint=entry.endpoint, is_same=is_same
-        )
-        if is_same and self._gate.backend is None:
-            self._gate.heartbeat(
-                heartbeats.Heartbeat(
-                    endpoint=entry.endpoint,
-                    incarnation_ms=entry.incarnation_ms,
-                    sequence=entry.sequence,
-                    service=entry.service,
-                    address=f"{self._settings.backend.host}:"
-                    f"{self._settings.backend.port}",
-                    slots=entry.slots,
-                    state=heartbeats.EndpointState.READY,
-                    cold_ms=0,
-                )
-            )
+        self._adoption.on_earlier_entry(entry, self._backend_address)
+
+    def _on_heartbeat(self, beat: heartbeats.Heartbeat) -> None:
+        path = self._origin.health_path(beat.service)
+        self._adoption.on_heartbeat(beat, path)
+
+    def _on_leave(self, endpoint: str) -> None:
+        self._adoption.forget(endpoint)
+        self._gate.leave(endpoint)
 
     async def _listen(
         self,
