Explain a request from the logs of all nodes; fewer calls to the store

On-call engineers have logs only: explain joins the lines of a request and its calls, and names the deepest failure before its end.

--- a/src/clementinekeel/operators/cli/application.py
+++ b/src/clementinekeel/operators/cli/application.py
@@ -22,6 +22,7 @@
     "drain",
     "draw",
     "endpoint",
+    "explain",
     "fleet",
     "history",
     "node",
--- a/src/clementinekeel/platform/store.py
+++ b/src/clementinekeel/platform/store.py
@@ -14,9 +14,10 @@
 CALL_TIMEOUT_S = 1.5
 """The store answers in 4 ms, over a region's link in 64 ms; slow ones take
 60 times as long."""
-WATCH_WAIT_MS = 10_000
-"""A waiting watch counts as one call, so that it waits long."""
-WATCH_TIMEOUT_S = 12.0
+WATCH_WAIT_MS = 25_000
+"""A waiting watch counts as one call, so that it waits for nearly the longest
+time that the store allows."""
+WATCH_TIMEOUT_S = 28.0
 """Time for the wait and the way back."""
 MS_PER_S = 1000
 
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -72,7 +72,8 @@
                 changes = await self._store.watch(self._key, revision)
             except metadata.MetadataError as error:
                 self._note(False, error.reason)
-                revision = 0
+                if error.kind in metadata.GAP_KINDS:
+                    revision = 0
                 await backoff.wait()
                 continue
             self._note(True, "")
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -20,7 +20,7 @@
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
-DEADLINE_GRACE_S = 0.2
+DEADLINE_GRACE_S = 0.12
 """Time beyond the deadline for the backend server's own answer to arrive."""
 STALE_REUSE_S = 0.01
 """A reused connection that ends within this time without an answer had been
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -24,7 +24,7 @@
 MAX_OFFERS = 4
 """Endpoints that are asked for one request; refusals cost no slot, but each
 costs a round trip of the caller's time."""
-TIMEOUT_GRACE_S = 0.25
+TIMEOUT_GRACE_S = 0.2
 """Time beyond the deadline in which the backend server's own answer may still
 arrive; callers accept half a second."""
 MAX_ALL_OFFERS = 10
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -18,9 +18,10 @@
 lease only cleans up."""
 RENEWAL_S = 2.0
 """Renewals also show when the connections to the store have gone silent."""
-BATCH_S = 0.4
+BATCH_S = 1.0
 """Pause before a watch goes on, so that entries written together, as at the
-start of the fleet, cost each node one call."""
+start of the fleet, cost each node one call. A new node's own links tell the
+others of it meanwhile."""
 FIRST_HEARTBEAT_S = 1.6
 """Heartbeats come every 1.5 s; without one there is nothing to offer yet."""
 MIN_BACKOFF_S = 0.2
@@ -142,8 +143,9 @@
                 changes = await self._store.watch(PREFIX, revision)
             except metadata.MetadataError as error:
                 self._on_error("node list", error)
-                # What was missed meanwhile is read in full.
-                revision = 0
+                if error.kind in metadata.GAP_KINDS:
+                    # What was missed meanwhile is read in full.
+                    revision = 0
                 await backoff.wait()
                 continue
             self._on_success("node list")
--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -47,9 +47,9 @@
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(step, head, body)
         except TimeoutError:
-            # A connection that has gone silent says nothing of the others,
-            # but they may have gone with it, and a new one is cheap.
-            self.drop_idle()
+            # Connections go silent together, and a watch that waits on one
+            # would not notice for long.
+            self.abort_all()
             raise self._fail(step, "no answer in time") from None
         except OSError as error:
             raise self._fail(step, str(error)) from error
--- a/src/clementinekeel/store/metadata.py
+++ b/src/clementinekeel/store/metadata.py
@@ -27,6 +27,11 @@
     """The answer can't be read."""
 
 
+GAP_KINDS = frozenset((FailureKind.COMPACTED, FailureKind.MALFORMED))
+"""Failures of a watch after which changes may have been missed; otherwise it
+goes on from its last revision."""
+
+
 class MetadataError(errors.StepError):
     """A call to the store failed."""
 
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -232,7 +232,7 @@
 def test_silent_backend_server_is_given_up_after_the_deadline():
     async def scenario(member, server, sender):
         member.gate.offer(sender, offer(1, budget_ms=300))
-        await world.settle(0.45)
+        await world.settle(0.4)
         assert sender.frames == []
         await world.settle(0.1)
         (failure,) = sender.frames
--- /dev/null
+++ b/tests/store/test_calls.py
@@ -0,0 +1,87 @@
+"""Calls to the store over connections that fail or go silent."""
+
+import asyncio
+
+import pytest
+
+from clementinekeel.store import calls
+from clementinekeel.store import metadata
+from tests import memory_loop
+from tests.sidecar import world
+
+K = metadata.FailureKind
+
+
+class Store(asyncio.Protocol):
+    """Connection of a store that answers all calls, or none."""
+
+    answers = True
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        if type(self).answers and b"/wait" not in data:
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+            )
+
+    def eof_received(self):
+        return False
+
+
+def run_calls(function):
+    async def main():
+        Store.answers = True
+        loop = asyncio.get_running_loop()
+        await loop.create_server(Store, "store", 1)
+        await function(calls.StoreConnections("store", 1))
+
+    memory_loop.run(main)
+
+
+def call(connections, path="/x", timeout_s=1.0):
+    return connections.call("read", "GET", path, b"", timeout_s)
+
+
+def test_connection_is_kept_for_the_next_call():
+    async def scenario(connections):
+        for _ in range(3):
+            assert (await call(connections)).body == b"{}"
+        assert len(connections._loop.transports) == 2
+
+    run_calls(scenario)
+
+
+def test_unreachable_store_is_an_error_of_the_step():
+    async def scenario(connections):
+        connections._loop.listeners.clear()
+        with pytest.raises(metadata.MetadataError) as caught:
+            await call(connections)
+        assert (caught.value.step, caught.value.kind) == (
+            "read",
+            K.UNANSWERED,
+        )
+
+    run_calls(scenario)
+
+
+def test_call_without_answer_ends_a_waiting_watch_too():
+    """Connections go silent together; the watch would wait for 28 s, and a
+    new configuration has to be in force after 2.5 s."""
+
+    async def scenario(connections):
+        await asyncio.gather(call(connections), call(connections))
+        watch = asyncio.ensure_future(
+            call(connections, "/wait", timeout_s=28.0)
+        )
+        await world.settle()
+        connections._loop.silence("store", 1)
+        with pytest.raises(metadata.MetadataError):
+            await call(connections)
+        with pytest.raises(metadata.MetadataError):
+            async with asyncio.timeout(0.1):
+                await watch
+        assert (await call(connections)).status == 200
+
+    run_calls(scenario)
