--- a/src/clementinekeel/routing/placement.py
+++ b/src/clementinekeel/routing/placement.py
@@ -3,7 +3,7 @@
 Load pattern answered: endpoints of one service differ in speed by a factor of
 three, some slow down further for seconds, and zones send unequal load, so that
 the near endpoint fills up while farther ones have free slots. A request goes
-where its answer is expected first; a distance counts as the time it costs.
+where it waits least; a distance counts as a time, by volume.
 """
 
 from collections.abc import Callable, Sequence
@@ -34,6 +34,10 @@
 CROWDING_SHARE = 0.5
 """Expected loss at a full endpoint, as a share of its service time: its load
 changes while the request is on its way."""
+USUAL_SPREAD = 3.0
+"""Endpoints of one service differ in speed by up to this factor. Within it the
+faster one gains a caller nothing, as objectives are ten times the work, and
+sending all to the fastest would cross zones for nothing."""
 COLD_FACTOR = 2.0
 """An endpoint that has just started works at about half its speed."""
 PENALTY_MS = 400.0
@@ -66,13 +70,23 @@
     is_suspect: bool
 
 
-def expected_ms(candidate: Candidate, size_bytes: int) -> float:
-    """Return the expected cost of an answer from a candidate, as a time.
+def expected_ms(
+    candidate: Candidate, size_bytes: int, fastest_ms: float
+) -> float:
+    """Return the expected cost of a candidate beyond the work itself.
 
     Parameters
     ----------
     size_bytes : int
         Length of the request's body and, as expected, of its answer.
+    fastest_ms : float
+        Service time of the fastest endpoint of the service.
+
+    Returns
+    -------
+    float
+        Time on the way and in the queue, distance as a time, and how much
+        slower the endpoint is than is usual, in milliseconds.
     """
     slots = max(1, candidate.slots)
     service_ms = candidate.service_ms
@@ -82,7 +96,9 @@
     crowding = min(1.0, candidate.load / slots) ** 4 * CROWDING_SHARE
     distance_ms = max(candidate.transit_ms, TIER_MS[candidate.tier])
     distance_ms += TIER_MS_PER_KB[candidate.tier] * size_bytes / 1024
-    expected = distance_ms + service_ms * (1 + excess / slots + crowding)
+    waiting_ms = service_ms * (excess / slots + crowding)
+    slowness_ms = max(0.0, service_ms - USUAL_SPREAD * fastest_ms)
+    expected = distance_ms + waiting_ms + slowness_ms
     return expected + (PENALTY_MS if candidate.is_suspect else 0.0)
 
 
@@ -106,8 +122,11 @@
         ]
         if near:
             return near[int(draw / EXPLORED_SHARE * len(near))]
+    fastest_ms = min((c.service_ms for c in candidates), default=0.0)
     return min(
-        candidates, key=lambda c: expected_ms(c, size_bytes), default=None
+        candidates,
+        key=lambda c: expected_ms(c, size_bytes, fastest_ms),
+        default=None,
     )
 
 
--- /dev/null
+++ b/tests/backends/test_http1.py
@@ -0,0 +1,156 @@
+"""Answers of faulty backend servers; none may reach the wrong caller."""
+
+import asyncio
+
+import pytest
+
+from clementinekeel.backends import http1
+from tests import memory_loop
+from tests.sidecar import world
+
+OK = b"HTTP/1.1 200 OK\r\nid: r1\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nid: r0\r\nContent-Length: 3\r\n\r\nold"
+WHOLE = OK + b"Content-Length: 4\r\n\r\nfine"
+
+
+class Peer(asyncio.Protocol):
+    """Sends prepared bytes for each request."""
+
+    def __init__(self, script):
+        self.script = script
+        self.received = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.received.append(data)
+        for step in self.script:
+            if step == "close":
+                self.transport.close()
+            elif step == "reset":
+                self.transport.abort()
+            else:
+                self.transport.write(step)
+
+    def eof_received(self):
+        return False
+
+
+def exchange(script, is_head=False):
+    """Send one request; return its outcome and whether to reuse."""
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: Peer(script), "b", 1)
+        _, connection = await loop.create_connection(
+            lambda: http1.HttpConnection(b"id"), "b", 1
+        )
+        outcomes = []
+        connection.send(b"GET /\r\n\r\n", b"", b"r1", is_head, outcomes.append)
+        await world.settle(1)
+        return outcomes, connection.is_reusable
+
+    return memory_loop.run(main)
+
+
+@pytest.mark.parametrize(
+    ("script", "body", "is_reusable"),
+    [
+        pytest.param([WHOLE], b"fine", True, id="whole"),
+        pytest.param([WHOLE[:20], WHOLE[20:]], b"fine", True, id="in parts"),
+        pytest.param([OTHER + WHOLE], b"fine", True, id="older answer first"),
+        pytest.param([OTHER, WHOLE], b"fine", True, id="older one apart"),
+        pytest.param([WHOLE + OTHER], b"fine", False, id="second answer"),
+        pytest.param([WHOLE + b"junk"], b"fine", False, id="bytes behind"),
+        pytest.param([WHOLE, b"junk"], b"fine", False, id="bytes later"),
+        pytest.param(
+            [b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE],
+            b"fine",
+            True,
+            id="interim answer",
+        ),
+        pytest.param(
+            [OK + b"Connection: close\r\nContent-Length: 0\r\n\r\n"],
+            b"",
+            False,
+            id="leaving",
+        ),
+        pytest.param(
+            [OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"],
+            b"fine",
+            True,
+            id="chunked",
+        ),
+        pytest.param(
+            [OK + b"\r\nfi", b"ne", "close"], b"fine", False, id="no length"
+        ),
+    ],
+)
+def test_whole_answers(script, body, is_reusable):
+    (outcome,), reusable = exchange(script)
+    assert isinstance(outcome, http1.Answer)
+    assert (outcome.status, outcome.body) == (200, body)
+    assert reusable is is_reusable
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        pytest.param(["close"], id="closed"),
+        pytest.param(["reset"], id="reset"),
+        pytest.param([WHOLE[:-1], "close"], id="cut body"),
+        pytest.param([WHOLE[:15], "close"], id="cut head"),
+        pytest.param([b"junk\r\n\r\n"], id="no HTTP"),
+        pytest.param([OK + b"\r\nfi", "reset"], id="no length and reset"),
+        pytest.param(
+            [OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nfi", "close"],
+            id="cut chunk",
+        ),
+        pytest.param([OTHER, "close"], id="only an older answer"),
+    ],
+)
+def test_incomplete_answers_are_failures(script):
+    """An answer that ends early must not look complete."""
+    (outcome,), reusable = exchange(script)
+    assert isinstance(outcome, http1.Failure)
+    assert not reusable
+
+
+def test_answer_to_head_has_no_body():
+    (outcome,), reusable = exchange(
+        [OK + b"Content-Length: 4\r\n\r\n"], is_head=True
+    )
+    assert (outcome.status, outcome.body) == (200, b"")
+    assert not reusable
+
+
+def test_silent_connection_stays_open():
+    assert exchange([]) == ([], False)
+
+
+def test_headers_of_the_connection_are_dropped():
+    extra = b"Connection: x-hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=9\r\n"
+    (outcome,), _ = exchange(
+        [OK + extra + b"Seal: s\r\nContent-Length: 0\r\n\r\n"]
+    )
+    assert outcome.headers == [(b"id", b"r1"), (b"seal", b"s")]
+
+
+def test_idle_connection_is_left_before_the_server_closes_it():
+    """A request that meets the close can't be told from one that ran."""
+
+    async def main():
+        script = [OK + b"Keep-Alive: timeout=6\r\nContent-Length: 0\r\n\r\n"]
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: Peer(script), "b", 1)
+        _, connection = await loop.create_connection(
+            lambda: http1.HttpConnection(b"id"), "b", 1
+        )
+        connection.send(b"GET /\r\n\r\n", b"", b"r1", False, print)
+        await world.settle(2.5)
+        assert connection.is_reusable
+        await world.settle(1)
+        assert not connection.is_reusable
+
+    memory_loop.run(main)
--- /dev/null
+++ b/tests/callers/test_http1.py
@@ -0,0 +1,220 @@
+"""Connections of callers, whole requests and faulty ones."""
+
+import asyncio
+
+import pytest
+
+from clementinekeel.callers import http1
+from clementinekeel.routing import table
+from tests import memory_loop
+from tests.sidecar import world
+
+LIMITS = table.CallerLimits(
+    header_bytes=200,
+    body_bytes=100,
+    header_timeout_ms=3_000,
+    idle_timeout_ms=15_000,
+)
+GET = b"GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Server:
+    """Answers each request with its target, at once or later."""
+
+    limits = LIMITS
+    is_stopping = False
+
+    def __init__(self, delay_s=0.0):
+        self.requests = []
+        self.cancelled = 0
+        self.delay_s = delay_s
+
+    def has_room(self, size):
+        return size < 90
+
+    def cancel(self):
+        self.cancelled += 1
+
+    def handle(self, connection, request):
+        self.requests.append(request)
+
+        def answer():
+            connection.respond(b"HTTP/1.1 200 OK\r\n", request.target)
+
+        if self.delay_s:
+            asyncio.get_running_loop().call_later(self.delay_s, answer)
+            return self
+        answer()
+        return None
+
+
+class Caller(asyncio.Protocol):
+    """Collects what the node sends."""
+
+    def __init__(self):
+        self.received = b""
+        self.is_closed = False
+
+    def data_received(self, data):
+        self.received += data
+
+    def eof_received(self):
+        self.is_closed = True
+        return False
+
+    def connection_lost(self, _error):
+        self.is_closed = True
+
+
+def run_caller(function, server=None):
+    held = server or Server()
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        connections = set()
+        await loop.create_server(
+            lambda: http1.ServerConnection(
+                held, connections.add, connections.discard
+            ),
+            "n",
+            1,
+        )
+        transport, caller = await loop.create_connection(Caller, "n", 1)
+        await function(transport, caller, held, connections)
+
+    memory_loop.run(main)
+
+
+def test_requests_in_parts_and_pipelined_are_answered_in_order():
+    async def scenario(transport, caller, server, _):
+        transport.write(GET[:10])
+        transport.write(GET[10:] + GET.replace(b"/a/x", b"/a/y"))
+        await world.settle(1)
+        assert [r.target for r in server.requests] == [b"/a/x", b"/a/y"]
+        assert caller.received.index(b"/a/x") < caller.received.index(b"/a/y")
+
+    run_caller(scenario, Server(delay_s=0.1))
+
+
+@pytest.mark.parametrize(
+    ("data", "body"),
+    [
+        (b"Content-Length: 3\r\n\r\nabc", b"abc"),
+        (b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", b"abc"),
+    ],
+    ids=["length", "chunks"],
+)
+def test_bodies_are_whole(data, body):
+    async def scenario(transport, caller, server, _):
+        transport.write(b"POST /a HTTP/1.1\r\nHost: h\r\n" + data)
+        await world.settle()
+        assert [r.body for r in server.requests] == [body]
+
+    run_caller(scenario)
+
+
+SMUGGLED = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(b"\x16\x03\x01 \r\n\r\n", 400, id="no HTTP"),
+        pytest.param(
+            b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + SMUGGLED,
+            400,
+            id="length and chunks",
+        ),
+        pytest.param(
+            b"POST /a HTTP/1.1\r\nContent-Length: 2\r\n"
+            b"Content-Length: 30\r\n\r\n" + SMUGGLED,
+            400,
+            id="two lengths",
+        ),
+        pytest.param(
+            b"GET /a HTTP/1.1\r\nX: " + b"y" * 300 + b"\r\n\r\n",
+            431,
+            id="long header",
+        ),
+        pytest.param(
+            b"POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + b"z" * 101,
+            413,
+            id="long body",
+        ),
+        pytest.param(
+            b"POST /a HTTP/1.1\r\nContent-Length: 95\r\n\r\n" + b"z" * 95,
+            503,
+            id="no memory",
+        ),
+    ],
+)
+def test_faulty_requests_are_rejected_and_never_handled(data, status):
+    """A smuggled request would run under a request that nobody sent."""
+
+    async def scenario(transport, caller, server, _):
+        transport.write(data)
+        await world.settle()
+        assert caller.received.startswith(b"HTTP/1.1 %d " % status)
+        assert caller.received.count(b"HTTP/1.1") == 1
+        assert caller.is_closed
+        assert server.requests == []
+
+    run_caller(scenario)
+
+
+@pytest.mark.parametrize("how", ["close", "abort"])
+def test_leaving_caller_cancels_its_request(how):
+    async def scenario(transport, caller, server, connections):
+        transport.write(GET)
+        await world.settle(0.1)
+        getattr(transport, how)()
+        await world.settle(0.1)
+        assert server.cancelled == 1
+        assert connections == set()
+
+    run_caller(scenario, Server(delay_s=1.0))
+
+
+def test_slow_and_idle_callers_are_closed():
+    async def scenario(transport, caller, server, connections):
+        loop = asyncio.get_running_loop()
+        transport.write(GET[:10])
+        for _ in range(40):
+            for connection in list(connections):
+                connection.check(loop.time())
+            await world.settle(0.1)
+        assert caller.received.startswith(b"HTTP/1.1 408 ")
+
+    run_caller(scenario)
+
+
+def test_connection_idle_within_the_limit_is_kept():
+    """Callers reuse connections that were idle for 0.8 of the limit."""
+
+    async def scenario(transport, caller, server, connections):
+        loop = asyncio.get_running_loop()
+        for _ in range(2):
+            transport.write(GET)
+            await world.settle(12)
+            for connection in list(connections):
+                connection.check(loop.time())
+        assert len(server.requests) == 2
+        await world.settle(16)
+        for connection in list(connections):
+            connection.check(loop.time())
+        await world.settle()
+        assert caller.is_closed
+
+    run_caller(scenario)
+
+
+def test_stopping_node_closes_after_the_answer():
+    async def scenario(transport, caller, server, _):
+        server.is_stopping = True
+        transport.write(GET)
+        await world.settle()
+        assert b"Connection: close" in caller.received
+        assert caller.is_closed
+
+    run_caller(scenario)
