Pause a backend server that resets every connection at once

Three ends in a row within 20 ms of sending pause the backend server for 0.3 s. Extra repeats are dealt out by the number of known nodes; settings and attributes that nothing uses are gone.

--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -72,13 +72,6 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
-    @property
-    def backlog_bytes(self) -> int:
-        """Bytes that the kernel has not taken yet."""
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
-
     def send(self, frame: frames.Frame) -> None:
         """Send a frame; it is lost if the link has ended."""
         if self._transport is not None and not self._transport.is_closing():
--- a/src/clementinekeel/platform/settings.py
+++ b/src/clementinekeel/platform/settings.py
@@ -47,7 +47,6 @@
 class _Store(msgspec.Struct):
     address: str
     ttl_min_s: float = 1.0
-    reads_per_s: int = 2000
 
 
 class _Platform(msgspec.Struct):
@@ -56,7 +55,6 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 6.0
-    drain_s: float = 2.5
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_extra: float = 48.0
@@ -129,11 +127,9 @@
         metrics=settings.Address(machine.ip, METRICS_PORT),
         store=_address(store.address),
         lease_min_ms=_ms(store.ttl_min_s),
-        store_reads_per_s=store.reads_per_s,
         memory_mb=machine.limits.memory_mb,
         descriptors=machine.limits.max_fds,
         stop_timeout_ms=_ms(bounds.grace_s),
-        drain_ms=_ms(bounds.drain_s),
         retry_ratio=bounds.retry_budget_ratio,
         retry_extra=round(bounds.budget_extra),
         retry_window_ms=_ms(bounds.budget_window_s),
--- a/src/clementinekeel/sidecar/gate.py
+++ b/src/clementinekeel/sidecar/gate.py
@@ -32,6 +32,13 @@
 the last ones are taken, which costs more than those slots give."""
 FEW_SLOTS = 20
 """With fewer slots, leaving one unused costs more than that."""
+QUICK_FAILURE_S = 0.02
+"""A connection that ends within this time of a request was not about its
+work."""
+QUICK_FAILURES = 3
+"""Such ends in a row after which the backend server counts as down."""
+QUICK_DOWN_S = 0.3
+"""How long it does then; short, since it may fail only a part."""
 PROBE_TIMEOUT_S = 0.5
 """A probe takes 6 ms; the backend server is on the same VM."""
 DOWN_RETRY_S = 1.0
@@ -107,6 +114,7 @@
         self._numbers = 0
         self._is_stopping = False
         self._down_until = 0.0
+        self._quick_failures = 0
         self._cold_until = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -350,22 +358,13 @@
             self._send(job, connection)
 
     def _on_unreachable(self, job: Job, error: Exception) -> None:
-        before = self.status
-        self._down_until = self._loop.time() + DOWN_RETRY_S
-        self._decisions.write(
-            "backend_unreachable",
-            False,
-            endpoint=before.endpoint,
-            error=type(error).__name__,
-        )
-        if not job.is_over:
-            if job.is_resent:
-                self._fail(job, "backend_unreachable")
-            else:
-                self._end(job, "backend_unreachable", "backend_unreachable")
-        self._apply(self._queue.drop_all("backend_unreachable"))
-        self._report(before)
-        self._loop.call_later(DOWN_RETRY_S, self._on_status)
+        self._mark_down(type(error).__name__, DOWN_RETRY_S)
+        if job.is_over:
+            return
+        if job.is_resent:
+            self._fail(job, "backend_unreachable")
+        else:
+            self._end(job, "backend_unreachable", "backend_unreachable")
 
     def _send(self, job: Job, connection: http1.HttpConnection) -> None:
         offer = job.offer
@@ -426,13 +425,38 @@
                 job.is_resent = True
                 self._connect(job)
                 return
+        self._note_failure(age_s, failure.has_bytes)
         self._fail(job, failure.reason)
 
+    def _note_failure(self, age_s: float, has_bytes: bool) -> None:
+        """Keep requests from a backend server that resets all at once."""
+        if has_bytes or age_s > QUICK_FAILURE_S:
+            self._quick_failures = 0
+            return
+        self._quick_failures += 1
+        if self._quick_failures >= QUICK_FAILURES:
+            self._quick_failures = 0
+            self._mark_down("resets", QUICK_DOWN_S)
+
+    def _mark_down(self, error: str, duration_s: float) -> None:
+        before = self.status
+        self._down_until = self._loop.time() + duration_s
+        self._decisions.write(
+            "backend_unreachable",
+            False,
+            endpoint=before.endpoint,
+            error=error,
+        )
+        self._apply(self._queue.drop_all("backend_unreachable"))
+        self._report(before)
+        self._loop.call_later(duration_s, self._on_status)
+
     def _fail(self, job: Job, reason: str) -> None:
         job.sender.send(frames.Failure(job.offer.stream, reason))
         self._end(job, None, "failed:" + reason)
 
     def _answer(self, job: Job, answer: http1.Answer) -> None:
+        self._quick_failures = 0
         now = self._loop.time()
         service_ms = (now - job.started_at) * 1000
         changes = self._queue.finish(job.number, now, service_ms)
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -33,7 +33,7 @@
 """Connections that wait for acceptance; a full list costs seconds."""
 SPARE_DESCRIPTORS = 500
 """Descriptors left for links, the backend server, the store and files."""
-BODY_SHARE = 0.25
+BODY_SHARE = 0.15
 """Share of the memory limit that bodies of requests may take."""
 MIB = 1024 * 1024
 STOP_SLACK_S = 0.8
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -41,9 +41,9 @@
 """Part of the platform's retry ratio that a node uses for a service, by the
 depth of the calls to it. A request that is sent twice makes its calls twice,
 which counts at each service below, so that the shares of a chain add up."""
-BUDGET_EXTRA = 2
-"""Repeats of a service for each node and window beyond that share; some 20
-nodes together stay below the platform's 48."""
+EXTRA_SHARE = 0.5
+"""Part of the extra repeats, allowed to all nodes together, that is dealt out;
+a node may not know all others yet."""
 THROTTLED_RETRY_MS = 250
 """Retry-After of throttled requests: long enough for the load to change, short
 enough to be answered within the latency objective."""
@@ -407,8 +407,10 @@
     def _budget(self, service: str) -> window.WindowedBudget:
         budget = self._budgets.get(service)
         if budget is None:
+            nodes = max(1, len(self._peers.known))
+            extra = int(self._settings.retry_extra * EXTRA_SHARE / nodes)
             budget = self._budgets[service] = window.WindowedBudget(
-                self._settings.retry_window_ms / 1000, BUDGET_EXTRA
+                self._settings.retry_window_ms / 1000, extra
             )
         return budget
 
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -1,7 +1,7 @@
 """The other nodes: what is known of each, and the links to them."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 import random
 from typing import Any
 
@@ -69,7 +69,6 @@
         self.host = host
         self.port = port
         self.tier = tier
-        self.incarnation = 0
         self.status: frames.EndpointStatus | None = None
         self.link: link_module.Link | None = None
         self.loopback: Loopback | None = None
@@ -187,11 +186,10 @@
         self._gate: gate_module.Gate | None = None
         self.origin: Any = None
         self.configuration: tuple[int, bytes] = (0, b"")
-        self.configuration_at = 0.0
         self.on_configuration: Callable[[bytes, str], None] | None = None
 
     @property
-    def known(self) -> Iterable[Peer]:
+    def known(self) -> Collection[Peer]:
         """All nodes, this one included."""
         return self._peers.values()
 
--- a/src/clementinekeel/sidecar/settings.py
+++ b/src/clementinekeel/sidecar/settings.py
@@ -33,22 +33,17 @@
         The platform's metadata store.
     lease_min_ms : int
         Shortest lease that the store grants.
-    store_reads_per_s : int
-        Reads a second that the store grants all nodes together.
     memory_mb : int
         Memory above which the process is killed.
     descriptors : int
         File descriptors that the process may have open.
     stop_timeout_ms : int
         Time between the signal to stop and the kill.
-    drain_ms : int
-        Longest time after the acknowledgement of an endpoint's leaving for
-        which requests may still reach it.
     retry_ratio : float
         Repeated arrivals at a service as a share of its requests, over all
         nodes.
     retry_extra : int
-        Repeated arrivals beyond that share in a window.
+        Repeated arrivals beyond that share in a window, over all nodes.
     retry_window_ms : int
         Length of that window.
     """
@@ -65,11 +60,9 @@
     metrics: Address
     store: Address
     lease_min_ms: int
-    store_reads_per_s: int
     memory_mb: int
     descriptors: int
     stop_timeout_ms: int
-    drain_ms: int
     retry_ratio: float
     retry_extra: int
     retry_window_ms: int
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,7 +43,7 @@
     assert found.peers == product.Address("10.0.0.1", 7000)
     assert found.store == product.Address("10.0.0.9", 8)
     assert found.backend == product.Address("10.0.0.1", 80)
-    assert (found.stop_timeout_ms, found.drain_ms) == (5_000, 2_500)
+    assert (found.stop_timeout_ms, found.retry_extra) == (5_000, 48)
     assert found.descriptors == 4_100
 
 
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -159,6 +159,25 @@
     run_with_gate(scenario, lambda c, h, i: c.transport.abort())
 
 
+def test_backend_server_that_resets_everything_gets_a_pause():
+    """An endpoint that went down and up by turns took 147 settlements whose
+    outcome was then unknown."""
+
+    async def scenario(member, server, sender):
+        for stream in range(1, 9):
+            member.gate.offer(sender, offer(stream, can_repeat=False))
+            await world.settle(0.01)
+        kinds = [type(f) for f in sender.frames]
+        assert kinds == [frames.Failure] * 3 + [frames.Refusal] * 5
+        server.behave = lambda c, h, i: c.answer(i)
+        await world.settle(0.3)
+        member.gate.offer(sender, offer(20))
+        await world.settle(0.01)
+        assert isinstance(sender.frames[-1], frames.Answer)
+
+    run_with_gate(scenario, lambda c, h, i: c.transport.abort())
+
+
 def test_own_refusal_of_the_backend_server_is_passed_on_as_not_run():
     async def scenario(member, server, sender):
         member.gate.offer(sender, offer(1))
