--- /dev/null
+++ b/tests/membership/test_heartbeats.py
@@ -0,0 +1,62 @@
+"""Which heartbeat counts."""
+
+import pytest
+
+from clementinekeel.membership import heartbeats
+
+
+def beat(endpoint="e", incarnation_ms=10, sequence=5):
+    return heartbeats.Heartbeat(
+        endpoint,
+        incarnation_ms,
+        sequence,
+        "s",
+        "a:1",
+        2,
+        heartbeats.EndpointState.READY,
+        0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("later", "is_taken"),
+    [
+        (beat(sequence=6), True),
+        (beat(sequence=5), False),
+        (beat(sequence=4), False),
+        (beat(incarnation_ms=11, sequence=1), True),
+        (beat(incarnation_ms=9, sequence=99), False),
+        (beat(endpoint="new", incarnation_ms=11, sequence=1), True),
+        (beat(endpoint="old", incarnation_ms=3, sequence=99), False),
+    ],
+    ids=[
+        "next",
+        "again",
+        "late",
+        "restarted under the same identity",
+        "late, of the incarnation before",
+        "successor at the address",
+        "late, of the predecessor at the address",
+    ],
+)
+def test_only_newer_heartbeats_are_taken(later, is_taken):
+    """One delayed by a partition arrives after its sender has crashed."""
+    record = heartbeats.HeartbeatRecord()
+    assert record.accept(beat(), 0.0)
+    assert record.accept(later, 0.0) is is_taken
+    assert record.latest == (later if is_taken else beat())
+
+
+def test_endpoint_that_left_comes_back_only_restarted():
+    record = heartbeats.HeartbeatRecord()
+    record.accept(beat(), 0.0)
+    assert record.remove("e", 1.0)
+    assert not record.accept(beat(sequence=9), 60.0)
+    assert record.accept(beat(incarnation_ms=11, sequence=1), 60.0)
+
+
+def test_endpoint_that_left_unknown_is_refused_for_a_while():
+    record = heartbeats.HeartbeatRecord()
+    assert not record.remove("e", 1.0)
+    assert not record.accept(beat(), 1.0 + heartbeats.LATE_S / 2)
+    assert record.accept(beat(), 1.0 + heartbeats.LATE_S)
--- /dev/null
+++ b/tests/runtime/test_decision_log.py
@@ -0,0 +1,58 @@
+"""The log never holds up a request, and says what it left out."""
+
+import json
+import os
+
+from clementinekeel.runtime import decision_log
+
+
+def test_lines_are_json_with_the_node(tmp_path):
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    log = decision_log.DecisionLog("n1", descriptor)
+    log.write("request_ended", False, request_id="r", status=503)
+    log.flush()
+    os.close(descriptor)
+    (line,) = path.read_text().splitlines()
+    content = json.loads(line)
+    assert (content["node"], content["request_id"]) == ("n1", "r")
+
+
+def test_full_pipe_costs_lines_and_no_time():
+    """A reader that stops must not stop the node."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    log = decision_log.DecisionLog("n1", writer)
+    for _ in range(60):
+        for _ in range(decision_log.MAX_LINES):
+            log.write("job_ended", False, text="x" * 200)
+        log.flush()
+    assert log.left_out["pipe"] > 0
+    assert len(log._pending) < 2 * decision_log.MAX_BUFFER_BYTES
+    os.close(reader)
+    os.close(writer)
+
+
+def test_successes_are_left_out_before_failures():
+    reader, writer = os.pipe()
+    log = decision_log.DecisionLog("n1", writer)
+    for _ in range(100):
+        log.write("request_ended", True, status=200)
+        log.write("request_ended", False, status=503)
+    assert log.left_out == {
+        "routine": 100 - decision_log.MAX_ROUTINE_LINES,
+        "volume": 0,
+        "pipe": 0,
+    }
+    log.flush()
+    os.close(reader)
+    os.close(writer)
+
+
+def test_gone_reader_does_not_raise():
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = decision_log.DecisionLog("n1", writer)
+    log.write("request_ended", False)
+    log.flush()
+    os.close(writer)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -58,3 +58,24 @@
             listed.append((name.strip("`"), level, fields.strip()))
     assert set(listed) == found
     assert listed == sorted(listed)
+
+
+def decision_events():
+    for path in (ROOT / "src").rglob("*.py"):
+        for call in calls_of(
+            ast.parse(path.read_text()), "self._decisions.write"
+        ):
+            name = call.args[0]
+            if isinstance(name, ast.IfExp):
+                yield constant(name.body)
+                yield constant(name.orelse)
+            else:
+                yield constant(name)
+
+
+def test_operations_page_lists_all_events_of_forwarding_nodes():
+    """An event that is not described can't be searched for."""
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    table = page[: page.index("## From the id")]
+    missing = {name for name in decision_events() if f"`{name}`" not in table}
+    assert missing == set()
