--- a/src/clementinekeel/routing/placement.py
+++ b/src/clementinekeel/routing/placement.py
@@ -31,6 +31,8 @@
 EXPLORED_SHARE = 1 / 32
 """Requests that go to any endpoint nearby, so that an endpoint that was slow
 or is new is measured again."""
+EXPLORED_BYTES = 8 * 1024
+"""Larger requests don't explore: they would be billed for it."""
 CROWDING_SHARE = 0.5
 """Expected loss at a full endpoint, as a share of its service time: its load
 changes while the request is on its way."""
@@ -112,7 +114,7 @@
     candidates: Sequence[Candidate], size_bytes: int, draw: float
 ) -> Candidate | None:
     """Return the candidate with the least expected time, or None."""
-    if draw < EXPLORED_SHARE:
+    if draw < EXPLORED_SHARE and size_bytes <= EXPLORED_BYTES:
         near = [
             c
             for c in candidates
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -44,9 +44,9 @@
 EXTRA_SHARE = 0.5
 """Part of the extra repeats, allowed to all nodes together, that is dealt out;
 a node may not know all others yet."""
-THROTTLED_RETRY_MS = 250
-"""Retry-After of throttled requests: long enough for the load to change, short
-enough to be answered within the latency objective."""
+THROTTLED_RETRY_MS = 600
+"""Retry-After of throttled requests: an admitted share grows by a tenth in
+that time, and an answer after it still meets objectives of 1.5 s."""
 STARVED_REASONS = frozenset(
     ("overload", "displaced", "deadline", "timeout", "throttled")
 )
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -60,6 +60,13 @@
     assert choose(candidate("near"), slow, draw=share * 0.9) == "slow"
 
 
+def test_recordings_do_not_explore():
+    slow = candidate("slow", tier=TIER.REGION)
+    share = placement.EXPLORED_SHARE
+    chosen = choose(candidate("near"), slow, size=60_000, draw=share * 0.9)
+    assert chosen == "near"
+
+
 def test_no_candidate():
     assert choose() is None
 
