--- a/tests/admission/test_slot_queue.py
+++ b/tests/admission/test_slot_queue.py
@@ -34,7 +34,8 @@
 
 def test_older_chains_go_first_within_a_rank():
     """Four calls of one lookup each found room with the same chance, so that
-    of lookups that had begun most failed at the third or fourth call."""
+    of lookups that had begun most failed at the third or fourth call.
+    """
     queue = full_queue()
     queue.offer(ticket(1, began_at=NOW - 0.1), NOW)
     queue.offer(ticket(2, began_at=NOW - 0.5), NOW)
@@ -124,7 +125,8 @@
 
 def test_burst_of_chains_serves_more_than_in_arrival_order():
     """Load pattern: a burst at a deep service that each lookup needs four
-    times. The capacity suffices for 77% of the chains."""
+    times. The capacity suffices for 77% of the chains.
+    """
     served = replay(slot_queue.SlotQueue)
     assert served > replay(_ArrivalOrder) + 0.1
     assert served > 0.65
@@ -142,7 +144,8 @@
 )
 def test_each_request_ends_once_and_slots_are_kept(steps):
     """A request that is both refused and admitted would run after the
-    refusal had promised that it never will."""
+    refusal had promised that it never will.
+    """
     queue = slot_queue.SlotQueue(3)
     now, number = NOW, 0
     running, waiting, ended = set(), set(), set()
--- a/tests/nodes/test_transit.py
+++ b/tests/nodes/test_transit.py
@@ -17,7 +17,8 @@
 
 def test_sender_that_was_paused_is_trusted_again():
     """A sender's clock stands still while its VM is suspended; its messages
-    must not count as late for good."""
+    must not count as late for good.
+    """
     clock = transit.TransitClock()
     clock.excess_ms(0, 10.0)
     late = [clock.excess_ms(100 + i * 500, 14.1 + i / 2) for i in range(12)]
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -161,7 +161,8 @@
 
 def test_backend_server_that_resets_everything_gets_a_pause():
     """An endpoint that went down and up by turns took 147 settlements whose
-    outcome was then unknown."""
+    outcome was then unknown.
+    """
 
     async def scenario(member, server, sender):
         for stream in range(1, 9):
@@ -234,7 +235,8 @@
 
 def test_request_that_was_late_on_the_way_does_not_run():
     """A full link between regions delivered requests 1.4 s late, and they
-    ran after their callers had left."""
+    ran after their callers had left.
+    """
 
     async def scenario(member, server, sender):
         now = round(member.gate._loop.time() * 1000)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -211,7 +211,8 @@
 
 def test_restarted_node_asks_the_backend_server_of_its_entry(run_stand):
     """After a restart of all nodes the first ones back took all the load
-    until the heartbeats of the others came."""
+    until the heartbeats of the others came.
+    """
 
     async def scenario(stand):
         await stand.beat()
@@ -229,7 +230,8 @@
 @pytest.mark.parametrize("is_healthy", [True, False])
 def test_first_heartbeat_is_confirmed(run_stand, is_healthy):
     """A node that had just started acknowledged that an endpoint left; a
-    delayed heartbeat brought it back, and requests reached it."""
+    delayed heartbeat brought it back, and requests reached it.
+    """
 
     async def scenario(stand):
         stand.is_healthy = is_healthy
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -131,7 +131,8 @@
 
 def test_address_of_a_replaced_node_belongs_to_the_new_one():
     """A replaced VM's address was dialed under its old name for ever, and
-    each attempt dropped requests."""
+    each attempt dropped requests.
+    """
 
     async def scenario(members, servers):
         successor = world.Member("n3")
@@ -189,7 +190,8 @@
 
 def test_backend_refusals_are_repeated_within_the_budget():
     """Backend servers that turned a third of all requests away got 27,810
-    repeats in 10 s where 7,087 were allowed."""
+    repeats in 10 s where 7,087 were allowed.
+    """
 
     async def scenario(members, servers):
         for member in members:
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -68,7 +68,8 @@
 
 def test_call_without_answer_ends_a_waiting_watch_too():
     """Connections go silent together; the watch would wait for 28 s, and a
-    new configuration has to be in force after 2.5 s."""
+    new configuration has to be in force after 2.5 s.
+    """
 
     async def scenario(connections):
         await asyncio.gather(call(connections), call(connections))
