Ask one node for a newer configuration instead of all sending it

A node that hears of a newer version asks the nearest node that is ahead, and the next one after a second; versions in a row are announced once.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -185,6 +185,12 @@
     configuration: int
 
 
+class ConfigurationRequest(NamedTuple):
+    """Asks for the configuration in force at the receiver."""
+
+    configuration: int
+
+
 class Configuration(NamedTuple):
     """A configuration for a node that has an older one."""
 
@@ -205,6 +211,7 @@
     | Ping
     | Pong
     | Configuration
+    | ConfigurationRequest
 )
 
 _KINDS: tuple[type[Any], ...] = (
@@ -220,6 +227,7 @@
     Ping,
     Pong,
     Configuration,
+    ConfigurationRequest,
 )
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -65,7 +65,6 @@
         self.status: frames.EndpointStatus | None = None
         self.streams: dict[int, Any] = {}
         self.transit = transit.TransitClock()
-        self.configuration = 0
 
     @property
     def is_open(self) -> bool:
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -13,10 +13,6 @@
 from clementinekeel.sidecar import registration
 from clementinekeel.store import metadata
 
-ANNOUNCE_S = 0.5
-"""Pause before other nodes are asked for their version: most have it from the
-store by then, and only the others need it sent."""
-
 Decoder = Callable[
     [bytes], result.Result[table.RoutingTable, errors.StepError]
 ]
@@ -109,7 +105,7 @@
             source=source,
             routes=len(routing.routes),
         )
-        self._loop.call_later(ANNOUNCE_S, self._peers.announce, before)
+        self._peers.announce_later(before)
 
     def _note(self, is_reachable: bool, reason: str) -> None:
         if is_reachable is not self._is_reachable:
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -13,6 +13,15 @@
 from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import settings as settings_module
 
+ANNOUNCE_S = 0.5
+"""Pause before other nodes are told of a new version: most have it from the
+store by then."""
+FETCH_AFTER_S = 0.2
+"""Pause before a node asks another one for a newer version; its own watch of
+the store is usually faster."""
+FETCH_AGAIN_S = 1.0
+"""Time for an answer before the next node is asked; a configuration of 1 MB
+takes 0.3 s over the link between regions."""
 CONNECT_TIMEOUT_S = 1.0
 """A handshake between regions takes 60 ms; silence means a cut or no power."""
 FORGET_S = 3.0
@@ -53,6 +62,9 @@
         self._gate: gate_module.Gate | None = None
         self.origin: Any = None
         self.configuration: tuple[int, bytes] = (0, b"")
+        self._ahead: dict[link_module.Link, int] = {}
+        self._fetch: asyncio.TimerHandle | None = None
+        self._is_announcing = False
         self.on_configuration: Callable[[bytes, str], None] | None = None
 
     @property
@@ -157,8 +169,15 @@
         for link in list(self._inbound):
             link.check(version)
 
+    def announce_later(self, before: int) -> None:
+        """Tell the version in force soon, once for several in a row."""
+        if not self._is_announcing:
+            self._is_announcing = True
+            self._loop.call_later(ANNOUNCE_S, self.announce, before)
+
     def announce(self, before: int) -> None:
         """Ask the other nodes for their version, to bring late ones along."""
+        self._is_announcing = False
         if not before:
             return
         version = self.configuration[0]
@@ -382,6 +401,10 @@
             link.send(frames.Pong(self.configuration[0]))
         elif isinstance(frame, frames.Pong):
             pass
+        elif isinstance(frame, frames.ConfigurationRequest):
+            if self.configuration[0] > frame.configuration:
+                link.send(frames.Configuration(*self.configuration))
+            return True
         elif isinstance(frame, frames.Configuration):
             if frame.version > self.configuration[0]:
                 peer = link.peer.node if link.peer else ""
@@ -409,11 +432,42 @@
     def _compare_configuration(
         self, link: link_module.Link, version: int
     ) -> None:
-        """Send the configuration in force to a node with an older one."""
-        own, content = self.configuration
-        if version < own and link.configuration < own:
-            link.configuration = own
-            link.send(frames.Configuration(own, content))
+        """Note that another node has a newer version, to ask one for it.
+
+        Asking one node, the nearest that is known to be ahead, bounds what a
+        long configuration costs: when all nodes sent it to a late one, it
+        filled the link between regions.
+        """
+        if version <= self.configuration[0]:
+            return
+        self._ahead[link] = version
+        if self._fetch is None:
+            self._fetch = self._loop.call_later(
+                FETCH_AFTER_S, self._fetch_configuration
+            )
+
+    def _fetch_configuration(self) -> None:
+        own = self.configuration[0]
+        self._ahead = {
+            link: version
+            for link, version in self._ahead.items()
+            if version > own and link.is_open
+        }
+        self._fetch = None
+        if not self._ahead:
+            return
+        nearest = min(self._ahead, key=self._distance)
+        del self._ahead[nearest]
+        nearest.send(frames.ConfigurationRequest(own))
+        self._fetch = self._loop.call_later(
+            FETCH_AGAIN_S, self._fetch_configuration
+        )
+
+    def _distance(self, link: link_module.Link) -> int:
+        hello = link.peer
+        if hello is None:
+            return int(placement.Tier.REMOTE)
+        return int(self._tier(hello.zone, hello.region))
 
     def _set_status(
         self, peer: peer_module.Peer, status: frames.EndpointStatus
