Send the status of a backend server after the greeting only

Cause: a change of the backend server between the connection of another node and its greeting was sent as the first frame. The other node takes a first frame that is no greeting for a foreign service and ends the link. Change: links that are not greeted yet get the status with the greeting. Test: test_status_waits_for_the_greeting, which failed first.

--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -112,7 +112,9 @@
         status = self._gate.status
         self._set_status(self._peers[self._settings.node], status)
         for link in self._inbound:
-            link.send(status)
+            # A link that is not greeted yet gets the status with the greeting.
+            if link.peer is not None:
+                link.send(status)
 
     def learn(
         self,
