--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format src tests standins bench examples
-	$(BIN)/ruff check --fix src tests standins bench examples
+	$(BIN)/ruff format src tests standins bench examples soak
+	$(BIN)/ruff check --fix src tests standins bench examples soak
 
 lint: setup
-	$(BIN)/ruff format --check src tests standins bench examples
-	$(BIN)/ruff check src tests standins bench examples
-	$(BIN)/flake8 src tests standins bench examples
+	$(BIN)/ruff format --check src tests standins bench examples soak
+	$(BIN)/ruff check src tests standins bench examples soak
+	$(BIN)/flake8 src tests standins bench examples soak
 
 types: setup
 	$(BIN)/mypy
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised faults against forwarding nodes that run as processes."""
