Use a backend server that started with its node by its health check

Ruled out: the store and the configuration; both were there 0.1 s after the start. Change: the one that answers the health check in the place of the entry's is used with the entry's slots, if the settings still name its service. Health is asked again every 0.1 s until something listens. Its incarnation counts as unknown until its heartbeat; late heartbeats of the one before stay refused, and one that left before its heartbeat is not brought back. Tests: five in tests/sidecar/test_node.py; the first failed before. Also: the test of full endpoints set equal service times, which its own warming up had made unequal (it failed in two of three runs).

--- a/src/clementinekeel/membership/heartbeats.py
+++ b/src/clementinekeel/membership/heartbeats.py
@@ -35,6 +35,9 @@
         Requests that the backend server processes concurrently.
     cold_ms : int
         How much longer it stays slow after its start, in milliseconds.
+    is_probed : bool
+        Whether it stands for a health check that the backend server answered
+        before its first heartbeat; its incarnation is then a lower bound.
     """
 
     endpoint: str
@@ -45,6 +48,15 @@
     slots: int
     state: EndpointState
     cold_ms: int
+    is_probed: bool = False
+
+    def is_same_start(self, other: "Heartbeat") -> bool:
+        """Tell whether two heartbeats are of one start of an endpoint."""
+        if self.endpoint != other.endpoint:
+            return False
+        if self.is_probed or other.is_probed:
+            return True
+        return self.incarnation_ms == other.incarnation_ms
 
 
 class HeartbeatRecord:
@@ -90,8 +102,11 @@
             # A process that has just started knows no incarnation to refuse.
             self._unknown_until[endpoint] = now + LATE_S
             return False
-        self._removed[endpoint] = held.incarnation_ms
         self._latest = None
+        if held.is_probed:
+            self._unknown_until[endpoint] = now + LATE_S
+        else:
+            self._removed[endpoint] = held.incarnation_ms
         return True
 
 
--- a/src/clementinekeel/sidecar/adoption.py
+++ b/src/clementinekeel/sidecar/adoption.py
@@ -13,6 +13,14 @@
 from clementinekeel.sidecar import gate as gate_module
 from clementinekeel.sidecar import registration
 
+PROBE_AGAIN_S = 0.1
+"""Time between two health checks while nothing listens yet."""
+PROBES = 15
+"""Health checks after a start; then the first heartbeat has come."""
+NEW_COLD_MS = 2_000
+"""How long a backend server that has just started is taken to be slow; its
+first heartbeat tells."""
+
 
 class Adoption:
     """Passes heartbeats on to the gate once their sender is confirmed.
@@ -21,15 +29,19 @@
     ----------
     instance_header : bytes
         Header by which the answer to a health check names its sender.
+    service : str
+        Service of the VM's backend server, as the settings say at the start.
     """
 
     def __init__(
         self,
         gate: gate_module.Gate,
         instance_header: bytes,
+        service: str,
         decisions: decision_log.DecisionLog,
     ) -> None:
         self._gate = gate
+        self._service = service
         self._instance_header = instance_header
         self._decisions = decisions
         self._candidate: heartbeats.Heartbeat | None = None
@@ -51,7 +63,10 @@
             state=heartbeats.EndpointState.READY,
             cold_ms=0,
         )
-        self._ask(beat, entry.health_path)
+        self._candidate = beat
+        if entry.health_path:
+            loop = asyncio.get_running_loop()
+            self._probe = loop.create_task(self._find(beat, entry.health_path))
 
     def on_heartbeat(
         self, beat: heartbeats.Heartbeat, health_path: str
@@ -84,24 +99,62 @@
     async def _confirm(
         self, beat: heartbeats.Heartbeat, health_path: str
     ) -> None:
+        if await self._ask_health(health_path) == beat.endpoint:
+            self._take(beat, beat)
+
+    async def _find(
+        self, earlier: heartbeats.Heartbeat, health_path: str
+    ) -> None:
+        """Use the backend server of an entry, or the one in its place."""
+        for _ in range(PROBES):
+            named = await self._ask_health(health_path)
+            if self._candidate is not earlier:
+                return
+            if named == earlier.endpoint:
+                self._take(earlier, earlier)
+            elif named and earlier.service == self._service:
+                self._take(earlier, _successor(earlier, named))
+            else:
+                await asyncio.sleep(PROBE_AGAIN_S)
+
+    async def _ask_health(self, health_path: str) -> str:
+        """Return who answers as healthy, empty if nobody does."""
         answer = await self._gate.probe(health_path)
         named = dict(answer.headers) if answer is not None else {}
-        is_confirmed = (
-            answer is not None
-            and answer.status == 200
-            and named.get(self._instance_header) == beat.endpoint.encode()
-        )
+        endpoint = named.get(self._instance_header, b"").decode("latin-1")
+        is_healthy = answer is not None and answer.status == 200
         self._decisions.write(
-            "backend_probed",
-            False,
-            endpoint=beat.endpoint,
-            is_confirmed=is_confirmed,
+            "backend_probed", False, endpoint=endpoint, is_healthy=is_healthy
         )
-        if is_confirmed and self._candidate is beat:
+        return endpoint if is_healthy else ""
+
+    def _take(
+        self, candidate: heartbeats.Heartbeat, beat: heartbeats.Heartbeat
+    ) -> None:
+        """Use a backend server unless a heartbeat has told more meanwhile."""
+        if self._candidate is candidate:
             self._candidate = None
             self._gate.heartbeat(beat)
 
 
+def _successor(
+    earlier: heartbeats.Heartbeat, endpoint: str
+) -> heartbeats.Heartbeat:
+    """Return what is known of the one that started in the place of another.
+
+    Its incarnation is higher than that of the earlier one, whose heartbeats
+    may still be on their way, and lower than its own, which its heartbeats
+    will tell.
+    """
+    return earlier._replace(
+        endpoint=endpoint,
+        incarnation_ms=earlier.incarnation_ms + 1,
+        sequence=0,
+        cold_ms=NEW_COLD_MS,
+        is_probed=True,
+    )
+
+
 def _is_successor(
     beat: heartbeats.Heartbeat, held: heartbeats.Heartbeat
 ) -> bool:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -118,7 +118,10 @@
         backend = settings.backend
         self._backend_address = f"{backend.host}:{backend.port}"
         self._adoption = adoption.Adoption(
-            self._gate, wiring.dialect.instance, self._decisions
+            self._gate,
+            wiring.dialect.instance,
+            settings.service,
+            self._decisions,
         )
 
     @property
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -53,6 +53,7 @@
         self.reloaded = self.settings
         self.server = world.BackendServer("n1")
         self.is_healthy = True
+        self.instance = b"e-n1"
         self.server.on_request = self.on_request
         self.behave = lambda c, h, i: c.answer(i)
         self.node = node.Node(self.settings, self.wiring())
@@ -61,7 +62,8 @@
     def on_request(self, connection, head, headers, body):
         if head.startswith(b"GET /health"):
             status = 200 if self.is_healthy else 503
-            connection.answer(b"", status, extra=b"instance: e-n1\r\n")
+            named = b"instance: %s\r\n" % self.instance
+            connection.answer(b"", status, extra=named)
             return
         self.server.requests.append((head, headers, body))
         self.behave(connection, headers, headers[b"id"])
@@ -227,6 +229,79 @@
     run_stand(scenario)
 
 
+async def restart_with_new_backend(stand, **changes):
+    """Start a node on a VM that had lost power; return it."""
+    await stand.beat()
+    await world.settle(3)
+    stand.instance = b"e-new"
+    settings = stand.settings._replace(**changes)
+    again = node.Node(settings, stand.wiring())
+    again._on_earlier_entry(stand.node._registration._written)
+    await world.settle(0.1)
+    return again
+
+
+def test_backend_server_that_started_with_the_node_is_used(run_stand):
+    """After a loss of power all backend servers have new identities; for 1.3 s
+    until their heartbeats 407 requests found no endpoint.
+    """
+
+    async def scenario(stand):
+        again = await restart_with_new_backend(stand)
+        assert again._gate.backend.endpoint == "e-new"
+        assert again._gate.status.accepts
+
+    run_stand(scenario)
+
+
+def test_first_heartbeat_after_that_replaces_no_requests(run_stand):
+    """It is the same start of the endpoint, so what waits is kept."""
+
+    async def scenario(stand):
+        again = await restart_with_new_backend(stand)
+        probed = again._gate.backend
+        beat = world.beat("n1", endpoint="e-new", incarnation_ms=99)
+        assert beat.is_same_start(probed)
+        again._on_heartbeat(beat)
+        assert again._gate.backend == beat
+        later = beat._replace(incarnation_ms=100)
+        assert not later.is_same_start(beat)
+
+    run_stand(scenario)
+
+
+def test_late_heartbeat_of_the_one_before_is_refused(run_stand):
+    async def scenario(stand):
+        again = await restart_with_new_backend(stand)
+        again._on_heartbeat(world.beat("n1", sequence=9))
+        assert again._gate.backend.endpoint == "e-new"
+
+    run_stand(scenario)
+
+
+def test_probed_backend_server_that_left_is_not_brought_back(run_stand):
+    async def scenario(stand):
+        again = await restart_with_new_backend(stand)
+        again._on_leave("e-new")
+        beat = world.beat("n1", endpoint="e-new", incarnation_ms=99)
+        again._on_heartbeat(beat)
+        again._on_heartbeat(beat._replace(sequence=2))
+        await world.settle(0.1)
+        assert not again._gate.status.accepts
+
+    run_stand(scenario)
+
+
+def test_backend_server_of_another_service_waits_for_its_heartbeat(run_stand):
+    """Its slots and its routes are not those of the entry."""
+
+    async def scenario(stand):
+        again = await restart_with_new_backend(stand, service="other")
+        assert again._gate.backend is None
+
+    run_stand(scenario)
+
+
 @pytest.mark.parametrize("is_healthy", [True, False])
 def test_first_heartbeat_is_confirmed(run_stand, is_healthy):
     """A node that had just started acknowledged that an endpoint left; a
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -194,7 +194,7 @@
         for server in servers:
             server.behave = lambda c, h, i: None
         for peer in members[0].peers.known:
-            peer.tier = placement.Tier.ZONE
+            peer.tier, peer.service_ms = placement.Tier.ZONE, 20.0
         for _ in range(4):
             world.send(members[0])
         await wait_with_ticks(members[0], 0.6)
