Split dispatching and versions from the forwarding node's large modules

Change: sidecar/dispatch decides which endpoints get a request; sidecar/versions compares configurations with other nodes. Behaviour is unchanged; tests name the new owners and assert the same.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,9 @@
     parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
     parser.add_argument("--keep", default="", help="folder for failed logs")
+    parser.add_argument(
+        "--sabotage", default="", help="promise that the nodes break"
+    )
     return parser.parse_args()
 
 
@@ -48,7 +51,11 @@
 def _play_one(arguments: argparse.Namespace) -> int:
     outcome = asyncio.run(
         run.play(
-            arguments.seed, arguments.seconds, arguments.nodes, arguments.keep
+            arguments.seed,
+            arguments.seconds,
+            arguments.nodes,
+            arguments.keep,
+            arguments.sabotage,
         )
     )
     line = outcome._asdict()
@@ -82,6 +89,8 @@
     words = [str(w) for pair in options.items() for w in pair]
     if arguments.keep:
         words += ["--keep", arguments.keep]
+    if arguments.sabotage:
+        words += ["--sabotage", arguments.sabotage]
     return subprocess.Popen([sys.executable, "-m", "soak", *words])
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 
 from clementinekeel.runtime import registry
 from soak import clients as clients_module
+from soak import endpoint as endpoint_module
 from soak import fleet as fleet_module
 from soak import operator as operator_module
 from soak import relay as relay_module
@@ -359,7 +360,7 @@
         for node in nodes:
             if node.backend is not None:
                 node.backend.drop_idle()
-                node.backend.faults.__init__()
+                node.backend.faults = endpoint_module.Faults()
 
 
 @FAULTS.register("late_beats")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """The nodes as processes, and what stands around each of them."""
 
 import asyncio
+import functools
 import json
 import os
 import pathlib
@@ -78,7 +79,14 @@
 
 
 class Network:
-    """Loopback addresses of one run; each has a network of its own."""
+    """Loopback addresses of one run; each has a network of its own.
+
+    Parameters
+    ----------
+    number : int
+        Number of the run among those that go on at once, such as its
+        process identifier.
+    """
 
     def __init__(self, number: int) -> None:
         self._base = f"127.{16 + number // 120 % 200}.{number % 120 * 2}"
@@ -96,13 +104,25 @@
         return f"{self._relays}.{number + 1}"
 
 
+def program(sabotage: str) -> list[str]:
+    """Return the arguments that start a node, or one that is sabotaged."""
+    if sabotage:
+        return [sys.executable, "-m", "soak.sabotage", sabotage]
+    return [sys.executable, "-m", "clementinekeel", "node", "--platform"]
+
+
 class Node:
     """One node: its process, its relays and its backend server."""
 
     def __init__(
-        self, place: Place, network: Network, folder: pathlib.Path
+        self,
+        place: Place,
+        network: Network,
+        folder: pathlib.Path,
+        arguments: list[str],
     ) -> None:
         self.place = place
+        self._arguments = arguments
         self.name = place.name
         self.host = network.host(place.number)
         self.relay_host = network.relay_host(place.number)
@@ -149,7 +169,7 @@
         self.stopping_until = 0.0
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "clementinekeel", "node", "--platform"],
+                self._arguments,
                 stdout=log,
                 stderr=log,
                 env={
@@ -243,8 +263,11 @@
         judge: judge_module.Judge,
         draw: random.Random,
         routes: dict[str, str],
+        arguments: list[str],
     ) -> None:
-        self.nodes = {p.name: Node(p, network, folder) for p in places}
+        self.nodes = {
+            p.name: Node(p, network, folder, arguments) for p in places
+        }
         self.store = store_module.Store(draw, self._view)
         self.judge = judge
         self._draw = draw
@@ -264,7 +287,7 @@
         loop = asyncio.get_running_loop()
         for node in self.nodes.values():
             await loop.create_server(
-                lambda name=node.name: self.store.connection(name),
+                functools.partial(self.store.connection, node.name),
                 node.host,
                 STORE_PORT + 1,
             )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import functools
+import os
 import pathlib
 import random
 import shutil
@@ -64,7 +66,9 @@
     ]
 
 
-async def play(seed: int, seconds: float, nodes: int, kept: str) -> Outcome:
+async def play(
+    seed: int, seconds: float, nodes: int, kept: str, sabotage: str
+) -> Outcome:
     """Play one seed.
 
     Parameters
@@ -75,17 +79,20 @@
         Number of node processes.
     kept : str
         Folder for the logs of a run that broke a promise; empty for none.
+    sabotage : str
+        Promise that the nodes break on purpose; empty for none.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     draw = random.Random(seed)
     judge = judge_module.Judge()
     fleet = fleet_module.Fleet(
         places(nodes),
-        fleet_module.Network(seed),
+        fleet_module.Network(os.getpid()),
         folder,
         judge,
         draw,
         {s.name: f"/to-{s.name}/" for s in SERVICES},
+        fleet_module.program(sabotage),
     )
     try:
         outcome = await _play(seed, seconds, fleet, judge, draw)
@@ -136,7 +143,9 @@
         background.append(
             asyncio.ensure_future(
                 operator.probe(
-                    node.name, node.outbound, lambda n=node: n.incarnation
+                    node.name,
+                    node.outbound,
+                    functools.partial(getattr, node, "incarnation"),
                 )
             )
         )
--- a/soak/store.py
+++ b/soak/store.py
@@ -153,7 +153,7 @@
             value = base64.b64decode(body["value"])
             shown = self._view(reader, body["key"], value)
             return {**body, "value": base64.b64encode(shown).decode()}
-        lists = {
+        lists: dict[str, Any] = {
             name: [self._as_seen(reader, item) for item in body[name]]
             for name in ("items", "events")
             if name in body
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -47,7 +47,7 @@
         self._loop = asyncio.get_running_loop()
         self._is_reachable: bool | None = None
         self._taken_at = self._loop.time()
-        peers.on_configuration = self.take
+        peers.versions.on_configuration = self.take
 
     @property
     def age_s(self) -> float:
@@ -96,7 +96,7 @@
         if not self._origin.use(routing):
             return
         self._taken_at = self._loop.time()
-        self._peers.configuration = (routing.version, content)
+        self._peers.versions.configuration = (routing.version, content)
         self._decisions.write(
             "configuration_in_force",
             False,
@@ -105,7 +105,7 @@
             source=source,
             routes=len(routing.routes),
         )
-        self._peers.announce_later(before)
+        self._peers.versions.announce_later(before)
 
     def _note(self, is_reachable: bool, reason: str) -> None:
         if is_reachable is not self._is_reachable:
--- a/src/clementinekeel/sidecar/origin.py
+++ b/src/clementinekeel/sidecar/origin.py
@@ -12,37 +12,24 @@
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.callers import http1
 from clementinekeel.nodes import frames
-from clementinekeel.retries import patience
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import chain as chain_module
+from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import metrics as metrics_module
-from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
 
-MAX_OFFERS = 4
-"""Endpoints that are asked for one request; refusals cost no slot, but each
-costs a round trip of the caller's time."""
 TIMEOUT_GRACE_S = 0.2
 """Time beyond the deadline in which the backend server's own answer may still
 arrive; callers accept half a second."""
-MAX_ALL_OFFERS = 10
-"""The same with those that a backend server itself refused, which are bounded
-by the retry budget."""
-MIN_OFFER_S = 0.02
-"""A request with less time left can't be answered by any endpoint."""
 RETRY_SPREAD = 0.5
 """Random part of Retry-After, so that refused callers don't return at once."""
 MIN_RETRY_AFTER_MS = 60
-ARRIVED_REASONS = frozenset(("backend_refused",))
-"""Refusals by the backend server itself: the request has arrived there."""
 THROTTLED_RETRY_MS = 600
 """Retry-After of throttled requests: an admitted share grows by a tenth in
 that time, and an answer after it still meets objectives of 1.5 s."""
-SIZE_GAIN = 0.1
-"""Weight of a new answer in the average size of a route's answers."""
 
 
 class Origin:
@@ -61,17 +48,15 @@
         self._metrics = metrics
         self._settings = settings
         self._dialect = dialect
-        self._peers = peers
+        self._dispatcher = dispatch.Dispatcher(peers, chain, self._give_up)
         self._decisions = decisions
         self._has_room = has_room
         self._chain = chain
         self._loop = asyncio.get_running_loop()
         self._table: table.RoutingTable | None = None
         self._split = table.WeightedChoice()
-        self._streams = 0
         self._active: set[exchange_module.Exchange] = set()
         self._random = random.Random()
-        self._sizes: dict[str, int] = {}
         self.is_stopping = False
         self.closes_at: float | None = None
         self._own_headers = frozenset(
@@ -143,14 +128,14 @@
         exchange.timer = self._loop.call_at(
             exchange.expires_at + TIMEOUT_GRACE_S, self._time_out, exchange
         )
-        self._offer(exchange)
+        self._dispatcher.offer(exchange)
         return exchange
 
     def cancel(self, exchange: exchange_module.Exchange) -> None:
         """End a request whose caller has left."""
         if exchange.is_over:
             return
-        self._withdraw(exchange)
+        self._dispatcher.withdraw(exchange)
         self._end(exchange, "caller_left", 499)
 
     def on_answer(
@@ -174,66 +159,18 @@
     def on_refusal(
         self, exchange: exchange_module.Exchange, refusal: frames.Refusal
     ) -> None:
-        """Offer a refused request elsewhere, or refuse it."""
-        exchange.peer = None
-        exchange.last_reason = refusal.reason
-        if refusal.reason in ARRIVED_REASONS:
-            exchange.arrivals += 1
-            # The backend server may take it a moment later.
-            exchange.tried = set(exchange.failed)
-        known = exchange.retry_after_ms
-        hint = refusal.retry_after_ms
-        exchange.retry_after_ms = min(known, hint) if known else hint
-        self._offer(exchange)
+        """Take an endpoint's refusal."""
+        self._dispatcher.on_refusal(exchange, refusal)
 
     def on_failure(
         self, exchange: exchange_module.Exchange, reason: str
     ) -> None:
-        """Send an idempotent request again; answer others as unknown."""
-        self._note_failed(exchange)
-        exchange.last_reason = reason
-        if exchange.route is not None and exchange.route.is_idempotent:
-            self._offer(exchange)
-        else:
-            self._give_up(exchange, reason)
+        """Take a failure after which the request may have run."""
+        self._dispatcher.on_failure(exchange, reason)
 
     def tick(self) -> None:
-        """Send idempotent requests again that have waited too long."""
-        now = self._loop.time()
-        impatient = [e for e in self._active if e.patience_ends_at <= now]
-        for exchange in impatient:
-            exchange.patience_ends_at = float("inf")
-            self._send_elsewhere(exchange)
-
-    def _send_elsewhere(self, exchange: exchange_module.Exchange) -> None:
-        route, silent = exchange.route, exchange.peer
-        if route is None or silent is None or exchange.answer is not None:
-            return
-        other = self._choose(exchange, route)
-        if other is None or not patience.has_room(
-            other.known_load, other.slots
-        ):
-            return
-        if not self._chain.may_repeat(exchange, route, runs=1):
-            return
-        silent.on_result(False, self._loop.time())
-        self._withdraw(exchange)
-        self._note_failed(exchange, silent)
-        exchange.last_reason = "silent"
-        self._send(exchange, route, other)
-
-    def _note_failed(
-        self,
-        exchange: exchange_module.Exchange,
-        peer: peer_module.Peer | None = None,
-    ) -> None:
-        """Note that a request may have run where it got no answer."""
-        failed = peer or exchange.peer
-        if failed is not None:
-            exchange.failed.add(failed.node)
-        exchange.peer = None
-        exchange.arrivals += 1
-        exchange.runs += 1
+        """Look after the requests that wait for an answer."""
+        self._dispatcher.tick(self._active)
 
     def _prepare(
         self, exchange: exchange_module.Exchange, request: http1.Request
@@ -287,76 +224,6 @@
         closes_at = self.closes_at
         return closes_at is not None and exchange.expires_at > closes_at
 
-    def _choose(
-        self, exchange: exchange_module.Exchange, route: table.Route
-    ) -> peer_module.Peer | None:
-        size = len(exchange.body) + self._sizes.get(route.name, 0)
-        return self._peers.choose(exchange.service, exchange.tried, size)
-
-    def _offer(self, exchange: exchange_module.Exchange) -> None:
-        """Offer a request to the best endpoint that was not tried."""
-        route = exchange.route
-        limit = min(MAX_OFFERS + exchange.arrivals, MAX_ALL_OFFERS)
-        if route is None or exchange.offers >= limit:
-            self._give_up(exchange, exchange.last_reason or "overload")
-            return
-        if exchange.expires_at - self._loop.time() < MIN_OFFER_S:
-            self._give_up(exchange, "deadline")
-            return
-        peer = self._choose(exchange, route)
-        if peer is None:
-            self._give_up(exchange, exchange.last_reason or "no_endpoint")
-            return
-        if not exchange.offers:
-            self._chain.on_first_attempt(exchange)
-        elif exchange.arrivals and not self._chain.may_repeat(exchange, route):
-            self._give_up(exchange, exchange.last_reason)
-            return
-        self._send(exchange, route, peer)
-
-    def _send(
-        self,
-        exchange: exchange_module.Exchange,
-        route: table.Route,
-        peer: peer_module.Peer,
-    ) -> None:
-        """Offer a request to an endpoint."""
-        now = self._loop.time()
-        left_ms = round((exchange.expires_at - now) * 1000)
-        exchange.offers += 1
-        exchange.offered_at = now
-        exchange.tried.add(peer.node)
-        exchange.peer = peer
-        if route.is_idempotent:
-            wait_ms = patience.wait_ms(
-                peer.service_ms, peer.transit_ms, left_ms
-            )
-            exchange.patience_ends_at = now + wait_ms / 1000
-        self._streams += 1
-        exchange.stream = self._streams
-        body = exchange.body
-        offer = frames.Offer(
-            exchange.stream,
-            peer.endpoint,
-            exchange.request_id,
-            round(now * 1000),
-            left_ms,
-            exchange.rank,
-            exchange.age_ms + round((now - exchange.started_at) * 1000),
-            exchange.depth,
-            route.is_idempotent,
-            exchange.is_head,
-            exchange.head,
-            body[: frames.PART_BYTES],
-            len(body),
-        )
-        peer.offer(offer, body, exchange)
-
-    def _withdraw(self, exchange: exchange_module.Exchange) -> None:
-        peer, exchange.peer = exchange.peer, None
-        if peer is not None:
-            peer.withdraw(exchange.stream)
-
     def _deliver(self, exchange: exchange_module.Exchange) -> None:
         answer = exchange.answer
         if answer is None or exchange.is_over:
@@ -366,9 +233,7 @@
             body += b"".join(exchange.answer_parts)
         exchange.peer = None
         if exchange.route is not None:
-            name = exchange.route.name
-            known = self._sizes.get(name, len(body))
-            self._sizes[name] = round(known + SIZE_GAIN * (len(body) - known))
+            self._dispatcher.note_size(exchange.route, len(body))
         exchange.connection.respond(answer.head, body)
         self._end(exchange, "answered", answer.status)
 
@@ -380,7 +245,7 @@
             self._refuse(exchange, reason)
             return
         left_s = exchange.expires_at - self._loop.time()
-        is_late = reason == "backend_silent" or left_s < MIN_OFFER_S
+        is_late = reason == "backend_silent" or left_s < dispatch.MIN_OFFER_S
         self._fail(exchange, 504 if is_late else 502, reason)
 
     def _refuse(self, exchange: exchange_module.Exchange, reason: str) -> None:
@@ -419,7 +284,7 @@
     def _time_out(self, exchange: exchange_module.Exchange) -> None:
         if exchange.is_over:
             return
-        self._withdraw(exchange)
+        self._dispatcher.withdraw(exchange)
         self._fail(exchange, 504, "timeout")
 
     def _end(
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -1,7 +1,7 @@
 """The other nodes: what is known of each, and the links to them."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Collection, Iterator
 import random
 from typing import Any
 
@@ -12,16 +12,8 @@
 from clementinekeel.sidecar import gate as gate_module
 from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import settings as settings_module
+from clementinekeel.sidecar import versions
 
-ANNOUNCE_S = 0.5
-"""Pause before other nodes are told of a new version: most have it from the
-store by then."""
-FETCH_AFTER_S = 0.2
-"""Pause before a node asks another one for a newer version; its own watch of
-the store is usually faster."""
-FETCH_AGAIN_S = 1.0
-"""Time for an answer before the next node is asked; a configuration of 1 MB
-takes 0.3 s over the link between regions."""
 CONNECT_TIMEOUT_S = 1.0
 """A handshake between regions takes 60 ms; silence means a cut or no power."""
 FORGET_S = 3.0
@@ -61,11 +53,7 @@
         self._random = random.Random()
         self._gate: gate_module.Gate | None = None
         self.origin: Any = None
-        self.configuration: tuple[int, bytes] = (0, b"")
-        self._ahead: dict[link_module.Link, int] = {}
-        self._fetch: asyncio.TimerHandle | None = None
-        self._is_announcing = False
-        self.on_configuration: Callable[[bytes, str], None] | None = None
+        self.versions = versions.VersionExchange(self._links, self._distance)
 
     @property
     def known(self) -> Collection[peer_module.Peer]:
@@ -154,7 +142,7 @@
     def tick(self) -> None:
         """Test links, dial missing ones and forget nodes that are gone."""
         now = self._loop.time()
-        version = self.configuration[0]
+        version = self.versions.newest
         for peer in list(self._peers.values()):
             if peer.loopback is not None:
                 continue
@@ -171,22 +159,6 @@
         for link in list(self._inbound):
             link.check(version)
 
-    def announce_later(self, before: int) -> None:
-        """Tell the version in force soon, once for several in a row."""
-        if not self._is_announcing:
-            self._is_announcing = True
-            self._loop.call_later(ANNOUNCE_S, self.announce, before)
-
-    def announce(self, before: int) -> None:
-        """Ask the other nodes for their version, to bring late ones along."""
-        self._is_announcing = False
-        if not before:
-            return
-        version = self.configuration[0]
-        for peer in self._peers.values():
-            if peer.link is not None:
-                peer.link.send(frames.Ping(version))
-
     def accept(self) -> link_module.Link:
         """Return the protocol of a connection that another node opens."""
         return link_module.Link(
@@ -221,7 +193,7 @@
             settings.region,
             settings.peers.host,
             settings.peers.port,
-            self.configuration[0],
+            self.versions.newest,
         )
 
     def _dial_if_needed(self, peer: peer_module.Peer, now: float) -> None:
@@ -287,7 +259,7 @@
             link.abort()
         elif isinstance(frame, frames.EndpointStatus):
             self._set_status(peer, frame)
-        elif not self._on_common(link, frame):
+        elif not self.versions.on_frame(link, frame):
             self._on_result(peer, frame)
 
     def _on_dialed_hello(
@@ -377,7 +349,7 @@
         self, link: link_module.Link, frame: frames.Frame
     ) -> None:
         gate = self._gate
-        if gate is None or self._on_common(link, frame):
+        if gate is None or self.versions.on_frame(link, frame):
             return
         if isinstance(frame, frames.Offer):
             gate.offer(link, frame)
@@ -398,26 +370,6 @@
                 is_listed=False,
             )
 
-    def _on_common(self, link: link_module.Link, frame: frames.Frame) -> bool:
-        if isinstance(frame, frames.Ping):
-            link.send(frames.Pong(self.configuration[0]))
-        elif isinstance(frame, frames.Pong):
-            pass
-        elif isinstance(frame, frames.ConfigurationRequest):
-            if self.configuration[0] > frame.configuration:
-                link.send(frames.Configuration(*self.configuration))
-            return True
-        elif isinstance(frame, frames.Configuration):
-            if frame.version > self.configuration[0]:
-                peer = link.peer.node if link.peer else ""
-                if self.on_configuration is not None:
-                    self.on_configuration(frame.content, peer)
-            return True
-        else:
-            return False
-        self._compare_configuration(link, frame.configuration)
-        return True
-
     def _on_hello(self, link: link_module.Link, hello: frames.Hello) -> None:
         link.peer = hello
         if hello.protocol != frames.PROTOCOL_VERSION:
@@ -429,41 +381,13 @@
             )
             link.abort()
             return
-        self._compare_configuration(link, hello.configuration)
-
-    def _compare_configuration(
-        self, link: link_module.Link, version: int
-    ) -> None:
-        """Note that another node has a newer version, to ask one for it.
-
-        Asking one node, the nearest that is known to be ahead, bounds what a
-        long configuration costs: when all nodes sent it to a late one, it
-        filled the link between regions.
-        """
-        if version <= self.configuration[0]:
-            return
-        self._ahead[link] = version
-        if self._fetch is None:
-            self._fetch = self._loop.call_later(
-                FETCH_AFTER_S, self._fetch_configuration
-            )
+        self.versions.compare(link, hello.configuration)
 
-    def _fetch_configuration(self) -> None:
-        own = self.configuration[0]
-        self._ahead = {
-            link: version
-            for link, version in self._ahead.items()
-            if version > own and link.is_open
-        }
-        self._fetch = None
-        if not self._ahead:
-            return
-        nearest = min(self._ahead, key=self._distance)
-        del self._ahead[nearest]
-        nearest.send(frames.ConfigurationRequest(own))
-        self._fetch = self._loop.call_later(
-            FETCH_AGAIN_S, self._fetch_configuration
-        )
+    def _links(self) -> Iterator[link_module.Link]:
+        """Return the links to other nodes that this node opened."""
+        for peer in self._peers.values():
+            if peer.link is not None:
+                yield peer.link
 
     def _distance(self, link: link_module.Link) -> int:
         hello = link.peer
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -281,11 +281,11 @@
 def test_node_without_the_store_gets_the_configuration_from_others():
     async def scenario(members, servers):
         received = []
-        members[1].peers.on_configuration = lambda content, peer: (
+        members[1].peers.versions.on_configuration = lambda content, peer: (
             received.append((content, peer))
         )
-        members[0].peers.configuration = (7, b"seven")
-        members[0].peers.announce(before=6)
+        members[0].peers.versions.configuration = (7, b"seven")
+        members[0].peers.versions.announce(before=6)
         await world.settle(0.5)
         assert received == [(b"seven", "n1")]
 
@@ -298,7 +298,7 @@
     """
 
     async def scenario(members, servers):
-        late = members[0].peers
+        late = members[0].peers.versions
         taken = []
 
         def take(content, peer):
@@ -307,8 +307,8 @@
 
         late.on_configuration = take
         for member in members[1:]:
-            member.peers.configuration = (7, b"x" * 100_000)
-            member.peers.announce(before=6)
+            member.peers.versions.configuration = (7, b"x" * 100_000)
+            member.peers.versions.announce(before=6)
         await world.settle(3)
         transports = asyncio.get_running_loop().transports
         sent = sum(len(transport.written) for transport in transports)
@@ -320,16 +320,16 @@
 
 def test_next_node_is_asked_when_one_does_not_answer():
     async def scenario(members, servers):
-        late = members[0].peers
+        late = members[0].peers.versions
         received = []
         late.on_configuration = lambda content, peer: received.append(peer)
         for member in members[1:]:
-            member.peers.configuration = (7, b"seven")
-            member.peers.announce(before=6)
+            member.peers.versions.configuration = (7, b"seven")
+            member.peers.versions.announce(before=6)
         await world.settle(0.1)
         # The nearest one that is known to be ahead forgets its version.
-        members[1].peers.configuration = (0, b"")
-        members[2].peers.configuration = (0, b"")
+        members[1].peers.versions.configuration = (0, b"")
+        members[2].peers.versions.configuration = (0, b"")
         await world.settle(4)
         assert "n4" in received
 
