Handle signals during the start and the planned stop of a node

Cause: the handlers of SIGTERM and SIGHUP were removed with the first SIGTERM, so that a changed settings file or a second SIGTERM ended a planned stop at once, with requests in flight; and a SIGHUP before the handlers were set ended a starting process. Change: signals are handled until the process ends; SIGHUP is ignored until then at the start, where the settings are read anyway. The reason of a failure is kept when no time for a second try is left. Tests: test_signal_during_a_planned_stop_does_not_end_it failed first.

--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,11 @@
 for a quarter; without any fault nearly all are."""
 RECOVERY_LOOK_S = 3.0
 
+LOOK_S = 0.05
+PAUSE_S = 0.25
+"""A longer time between two looks means that the soak itself was paused: what
+it saw late was not late at the nodes."""
+
 LOOKUP = fleet_module.Service("lookups", "ledger", 0.03, 12)
 BOOKING = fleet_module.Service("bookings", "", 0.05, 10)
 LEDGER = fleet_module.Service("ledger", "", 0.02, 12)
@@ -136,6 +141,7 @@
         asyncio.ensure_future(node.question()) for node in fleet.nodes.values()
     ]
     background.append(asyncio.ensure_future(_expire_leases(fleet)))
+    background.append(asyncio.ensure_future(_note_own_pauses(fleet)))
     await _until_ready(fleet)
     for node in fleet.nodes.values():
         judge.touch.disturb(node.name, loop.time(), loop.time())
@@ -152,7 +158,8 @@
     background += [asyncio.ensure_future(clients.run(k)) for k in KINDS]
     began = loop.time()
     world = faults_module.World(fleet, clients, operator)
-    played = await _inject(world, draw, seconds)
+    # A generator of its own: what else is drawn depends on the timing.
+    played = await _inject(world, random.Random(seed), seconds)
     ended = loop.time()
     await asyncio.sleep(RECOVERY_S + RECOVERY_LOOK_S)
     recovered = judge.served_share(
@@ -218,6 +225,18 @@
             fleet.store.expire()
 
 
+async def _note_own_pauses(fleet: fleet_module.Fleet) -> None:
+    """Take the time in which the soak was paused out of the judgement."""
+    loop = asyncio.get_running_loop()
+    while True:
+        before = loop.time()
+        await asyncio.sleep(LOOK_S)
+        if loop.time() - before > PAUSE_S:
+            fleet.judge.counts["own pauses"] += 1
+            for node in fleet.nodes:
+                fleet.judge.touch.disturb(node, before, loop.time())
+
+
 async def _until_ready(fleet: fleet_module.Fleet) -> None:
     async with asyncio.timeout(READY_TIMEOUT_S):
         while not all(n.is_entry for n in fleet.nodes.values()):
--- a/src/clementinekeel/__main__.py
+++ b/src/clementinekeel/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of the command ``clementinekeel``."""
 
 import importlib
+import signal
 import sys
 from typing import Any
 
@@ -16,6 +17,9 @@
         daemon: Any = importlib.import_module("clementinekeel.daemon.main")
         sys.exit(daemon.run_file(arguments[-1]))
     if arguments == ["node", "--platform"]:
+        # Its settings are read after this; a signal that they have changed
+        # would otherwise end a process that is still starting.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         platform: Any = importlib.import_module("clementinekeel.platform.main")
         sys.exit(platform.run())
     application: Any = importlib.import_module(
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -60,7 +60,8 @@
             self._give_up(exchange, exchange.last_reason or "overload")
             return
         if exchange.expires_at - self._loop.time() < MIN_OFFER_S:
-            self._give_up(exchange, "deadline")
+            reason = exchange.last_reason if exchange.runs else "deadline"
+            self._give_up(exchange, reason)
             return
         peer = self._choose(exchange, route)
         if peer is None:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -115,6 +115,7 @@
             self._decisions,
         )
         self._is_stopping = False
+        self._stop_requested = asyncio.Event()
         backend = settings.backend
         self._backend_address = f"{backend.host}:{backend.port}"
         self._adoption = adoption.Adoption(
@@ -171,7 +172,8 @@
             tasks.start_soon(self._tick)
             tasks.start_soon(self._tick_requests)
             tasks.start_soon(self._watch_settings)
-            await self._handle_signals()
+            tasks.start_soon(self._handle_signals)
+            await self._stop_requested.wait()
             await self._finish(servers)
             tasks.cancel_scope.cancel()
         self._decisions.write("node_stopped", False)
@@ -274,6 +276,11 @@
             self._origin.tick()
 
     async def _handle_signals(self) -> None:
+        """Handle signals until the end of the process.
+
+        A signal without a handler would end a planned stop at once, with
+        requests in flight.
+        """
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
@@ -284,7 +291,7 @@
                 self._decisions.write(
                     "stop_requested", False, signal=int(number)
                 )
-                return
+                self._stop_requested.set()
 
     async def _watch_settings(self) -> None:
         """Reload settings that change without a signal."""
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -211,6 +211,29 @@
     assert b'"event":"reloaded"' in run_stand(scenario)
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signal_during_a_planned_stop_does_not_end_it(run_stand, number):
+    """It ended the process at once, with requests in flight."""
+
+    async def scenario(stand):
+        await stand.beat()
+        waiting = []
+        stand.behave = lambda c, h, i: waiting.append((c, i))
+        request = asyncio.ensure_future(stand.request(1))
+        await world.settle(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await world.settle(0.3)
+        assert signal.getsignal(number) is not signal.SIG_DFL
+        os.kill(os.getpid(), number)
+        await world.settle(0.3)
+        connection, request_id = waiting[0]
+        connection.answer(request_id)
+        assert (await request).status == 200
+        await stand.task
+
+    run_stand(scenario)
+
+
 def test_restarted_node_asks_the_backend_server_of_its_entry(run_stand):
     """After a restart of all nodes the first ones back took all the load
     until the heartbeats of the others came.
