--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup format lint types unit test demo tour bench clean
+.PHONY: setup format lint types unit test soak demo tour bench clean
 
 setup: $(VENV)/.ready
 
@@ -31,6 +31,9 @@
 
 test: lint types unit
 
+soak: setup
+	PYTHONPATH=src:. $(BIN)/python -m soak --seeds 1-50 --jobs 3
+
 demo: setup
 	$(BIN)/python -m examples.demo
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 from soak import judge
+from soak import regressions
 from soak import run
 
 DEFAULT_SECONDS = 20.0
@@ -20,6 +21,9 @@
     )
     parser.add_argument("--seed", type=int, help="play one seed")
     parser.add_argument("--seeds", default="", help="play several, as 1-50")
+    parser.add_argument(
+        "--regressions", action="store_true", help="play the seeds that failed"
+    )
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
     parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
@@ -41,6 +45,8 @@
     arguments = _arguments()
     if arguments.seed is not None:
         return _play_one(arguments)
+    if arguments.regressions:
+        return _play_regressions(arguments)
     first, _, last = arguments.seeds.partition("-")
     if not first.isdigit() or not (last or first).isdigit():
         print("--seed N or --seeds FIRST-LAST is needed", file=sys.stderr)
@@ -65,6 +71,17 @@
     return BROKEN_EXIT if outcome.broken else 0
 
 
+def _play_regressions(arguments: argparse.Namespace) -> int:
+    codes = []
+    for regression in regressions.REGRESSIONS:
+        arguments.seconds = regression.seconds
+        arguments.nodes = regression.nodes
+        codes.append(
+            _play_many(arguments, range(regression.seed, regression.seed + 1))
+        )
+    return max(codes)
+
+
 def _play_many(arguments: argparse.Namespace, seeds: range) -> int:
     """Play each seed in a process of its own, some at a time."""
     waiting, failed = list(seeds), 0
