Take times without a core out of the soak's judgement

Change: the kernel's record of the time for which each node was ready to run and had no core (schedstat) marks the node as disturbed.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -151,6 +151,19 @@
         """Whether a planned stop is under way."""
         return self._loop.time() < self.stopping_until
 
+    def starved_s(self) -> float:
+        """Return for how long the process was ready to run and had no core.
+
+        0 where the kernel does not tell, or the process has ended.
+        """
+        if self._process is None:
+            return 0.0
+        path = pathlib.Path(f"/proc/{self._process.pid}/schedstat")
+        try:
+            return int(path.read_text().split()[1]) / 1e9
+        except (OSError, IndexError):
+            return 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         process = self._process
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,10 +25,10 @@
 for a quarter; without any fault nearly all are."""
 RECOVERY_LOOK_S = 3.0
 
-LOOK_S = 0.05
+LOOK_S = 0.25
 PAUSE_S = 0.25
-"""A longer time between two looks means that the soak itself was paused: what
-it saw late was not late at the nodes."""
+"""A pause by so much means that the machine was short of cores: what the soak
+or a node did late then was not late for a reason of its own."""
 
 LOOKUP = fleet_module.Service("lookups", "ledger", 0.03, 12)
 BOOKING = fleet_module.Service("bookings", "", 0.05, 10)
@@ -141,7 +141,7 @@
         asyncio.ensure_future(node.question()) for node in fleet.nodes.values()
     ]
     background.append(asyncio.ensure_future(_expire_leases(fleet)))
-    background.append(asyncio.ensure_future(_note_own_pauses(fleet)))
+    background.append(asyncio.ensure_future(_note_pauses(fleet)))
     await _until_ready(fleet)
     for node in fleet.nodes.values():
         judge.touch.disturb(node.name, loop.time(), loop.time())
@@ -225,16 +225,27 @@
             fleet.store.expire()
 
 
-async def _note_own_pauses(fleet: fleet_module.Fleet) -> None:
-    """Take the time in which the soak was paused out of the judgement."""
+async def _note_pauses(fleet: fleet_module.Fleet) -> None:
+    """Take the time without a core out of the judgement.
+
+    The soak's own pauses show as late wake-ups; those of the nodes are told
+    by the kernel.
+    """
     loop = asyncio.get_running_loop()
+    starved = {node.name: 0.0 for node in fleet.nodes.values()}
     while True:
         before = loop.time()
         await asyncio.sleep(LOOK_S)
-        if loop.time() - before > PAUSE_S:
-            fleet.judge.counts["own pauses"] += 1
-            for node in fleet.nodes:
-                fleet.judge.touch.disturb(node, before, loop.time())
+        now = loop.time()
+        is_own = now - before > LOOK_S + PAUSE_S
+        fleet.judge.counts["own pauses"] += is_own
+        for node in fleet.nodes.values():
+            total_s = node.starved_s()
+            is_starved = total_s - starved[node.name] > PAUSE_S / 2
+            starved[node.name] = total_s
+            if is_own or is_starved:
+                fleet.judge.counts["node pauses"] += is_starved
+                fleet.judge.touch.disturb(node.name, before - LOOK_S, now)
 
 
 async def _until_ready(fleet: fleet_module.Fleet) -> None:
