Drop the parts of an answer that did not arrive whole

Cause: an idempotent request that is sent again after its link was lost between two parts of a long answer kept the parts, and the caller got them within the next endpoint's answer. Change: a failure drops what has arrived. Test: test_answer_after_a_failure_has_nothing_of_the_one_before, which failed first.

--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -190,6 +190,7 @@
         failed = peer or exchange.peer
         if failed is not None:
             exchange.failed.add(failed.node)
+        exchange.drop_answer()
         exchange.peer = None
         exchange.arrivals += 1
         exchange.runs += 1
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -54,3 +54,9 @@
     def cancel(self) -> None:
         """End the request: its caller has left."""
         self._on_cancel(self)
+
+    def drop_answer(self) -> None:
+        """Forget the parts of an answer that did not arrive whole."""
+        self.answer = None
+        self.answer_parts = []
+        self.answer_missing = 0
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -168,6 +168,32 @@
     run_with_a_faulty_first_choice(scenario)
 
 
+def test_answer_after_a_failure_has_nothing_of_the_one_before():
+    """The link was lost between two parts of a long answer; its parts stood
+    within the answer of the next endpoint.
+    """
+
+    async def scenario(members, servers):
+        whole = bytes(range(256)) * 1_000
+        servers[1].behave = lambda c, h, i: None
+        servers[2].behave = lambda c, h, i: c.answer(i, body=whole)
+        connection, exchange = world.send(members[0])
+        await world.settle()
+        first = frames.Answer(
+            exchange.stream, 200, b"", b"first", 100_000, 0, 0, False, 1, 20
+        )
+        members[0].origin.on_answer(exchange, first)
+        part = frames.AnswerPart(exchange.stream, b"part")
+        members[0].origin.on_answer_part(exchange, part)
+        for link in list(members[1].peers._inbound):
+            link.abort()
+        await world.settle()
+        ((status, _, body),) = connection.answers
+        assert (status, body) == (200, whole)
+
+    run_with_a_faulty_first_choice(scenario)
+
+
 async def wait_with_ticks(member, seconds):
     for _ in range(round(seconds / 0.05)):
         await world.settle(0.05)
