Name the soak's promises and disruptions in the field's terms

The judge printed the names of the operators' rules. A promise is now an enumeration with a plain description; what excludes a node from bounds in time is a disruption. Checks and bounds are unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,7 +65,7 @@
         )
     )
     line = outcome._asdict()
-    line["broken"] = sorted({b.rule for b in outcome.broken})
+    line["broken"] = sorted({b.promise for b in outcome.broken})
     print(json.dumps(line), flush=True)
     print(judge.report(outcome.broken), file=sys.stderr, flush=True)
     return BROKEN_EXIT if outcome.broken else 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,7 @@
 """Kinds of faults; each runs its course and puts everything back.
 
 A kind is a coroutine function that takes the world and a random generator. It
-tells the judge which nodes it disturbs, and until when.
+tells the judge which nodes it disrupts, and until when.
 """
 
 import asyncio
@@ -35,21 +35,21 @@
         self.loop = asyncio.get_running_loop()
 
     @contextlib.contextmanager
-    def disturbed(self, *nodes: str) -> Iterator[None]:
-        """Tell the judge that nodes are disturbed during a block."""
-        touch = self.fleet.judge.touch
+    def disrupted(self, *nodes: str) -> Iterator[None]:
+        """Tell the judge that nodes are disrupted during a block."""
+        disruptions = self.fleet.judge.disruptions
         now = self.loop.time()
         # Unknown yet when it ends: open until the block is left.
-        spans = [touch.begin(node, now) for node in nodes]
+        spans = [disruptions.begin(node, now) for node in nodes]
         try:
             yield
         finally:
             for span in spans:
-                touch.end(span, self.loop.time())
+                disruptions.end(span, self.loop.time())
 
     def everyone(self) -> contextlib.AbstractContextManager[None]:
-        """Tell the judge that all nodes are disturbed during a block."""
-        return self.disturbed(*self.fleet.nodes)
+        """Tell the judge that all nodes are disrupted during a block."""
+        return self.disrupted(*self.fleet.nodes)
 
     def draw_nodes(
         self, draw: random.Random, most: int
@@ -79,7 +79,7 @@
 async def kill(world: World, draw: random.Random) -> None:
     """Kill processes at the same moment or one after the other."""
     nodes = world.draw_nodes(draw, 4)
-    with world.disturbed(*(n.name for n in nodes)):
+    with world.disrupted(*(n.name for n in nodes)):
         for node in nodes:
             node.signal(signal.SIGKILL)
             await asyncio.sleep(draw.choice((0.0, 0.3)))
@@ -100,7 +100,7 @@
     """Stop processes for a while and let them go on."""
     nodes = world.draw_nodes(draw, 3)
     duration_s = draw.uniform(0.3, 6)
-    with world.disturbed(*(n.name for n in nodes)):
+    with world.disrupted(*(n.name for n in nodes)):
         for node in nodes:
             node.signal(signal.SIGSTOP)
         await asyncio.sleep(duration_s)
@@ -129,7 +129,7 @@
 async def stop_and_kill(world: World, draw: random.Random) -> None:
     """Kill a process during its planned stop; a second signal comes first."""
     (node,) = world.draw_nodes(draw, 1)
-    with world.disturbed(node.name):
+    with world.disrupted(node.name):
         node.signal(signal.SIGTERM)
         await asyncio.sleep(draw.uniform(0.1, 3))
         node.signal(signal.SIGTERM)
@@ -153,7 +153,7 @@
     there = world.fleet.link(first, second)
     back = world.fleet.link(second, first)
     is_one_way = draw.random() < 0.5
-    with world.disturbed(first, second):
+    with world.disrupted(first, second):
         there.set({relay_module.Direction.TO} if is_one_way else BOTH)
         back.set({relay_module.Direction.FROM} if is_one_way else BOTH)
         await asyncio.sleep(draw.uniform(0.5, 5))
@@ -258,7 +258,7 @@
 async def store_cut(world: World, draw: random.Random) -> None:
     """Cut some nodes from the store while the operator goes on."""
     nodes = world.draw_nodes(draw, 3)
-    with world.disturbed(*(n.name for n in nodes)):
+    with world.disrupted(*(n.name for n in nodes)):
         for node in nodes:
             node.store_faults.set(BOTH)
         await asyncio.sleep(draw.uniform(1, 8))
@@ -309,7 +309,7 @@
         backend = node.backend
         if backend is None:
             continue
-        with world.disturbed(node.name):
+        with world.disrupted(node.name):
             node.backend = None
             backend.crash()
             if draw.random() < 0.5:
@@ -350,7 +350,7 @@
 async def backend_faulty(world: World, draw: random.Random) -> None:
     """Lose, spoil, double or refuse answers; forget idle connections."""
     nodes = world.draw_nodes(draw, 3)
-    with world.disturbed(*(n.name for n in nodes)):
+    with world.disrupted(*(n.name for n in nodes)):
         for node in nodes:
             if node.backend is not None:
                 faults = node.backend.faults
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -200,7 +200,7 @@
                 if not self._was_ended:
                     self.own_exits += 1
                 now = self._loop.time()
-                judge.touch.disturb(self.name, now, now + RESTART_S)
+                judge.disruptions.add(self.name, now, now + RESTART_S)
                 await asyncio.sleep(RESTART_S)
                 self.start()
             await asyncio.sleep(0.02)
--- a/soak/run.py
+++ b/soak/run.py
@@ -144,7 +144,7 @@
     background.append(asyncio.ensure_future(_note_pauses(fleet)))
     await _until_ready(fleet)
     for node in fleet.nodes.values():
-        judge.touch.disturb(node.name, loop.time(), loop.time())
+        judge.disruptions.add(node.name, loop.time(), loop.time())
         background.append(asyncio.ensure_future(node.keep(judge)))
         background.append(
             asyncio.ensure_future(
@@ -204,17 +204,23 @@
     fleet: fleet_module.Fleet, recovered: float
 ) -> list[judge_module.Broken]:
     found = [
-        judge_module.Broken("EXIT", 0.0, f"{n.name} ended by itself")
+        judge_module.Broken(
+            judge_module.Promise.NO_EXIT, 0.0, f"{n.name} ended by itself"
+        )
         for n in fleet.nodes.values()
         if n.own_exits
     ]
     found += [
-        judge_module.Broken("INTERNAL", 0.0, line)
+        judge_module.Broken(judge_module.Promise.NO_INTERNAL_ERROR, 0.0, line)
         for n in fleet.nodes.values()
         for line in n.internal_errors()
     ]
     if recovered < RECOVERED_SHARE:
-        found.append(judge_module.Broken("RECOVER", 0.0, f"{recovered:.3f}"))
+        found.append(
+            judge_module.Broken(
+                judge_module.Promise.RECOVERY, 0.0, f"{recovered:.3f}"
+            )
+        )
     return found
 
 
@@ -245,7 +251,7 @@
             starved[node.name] = total_s
             if is_own or is_starved:
                 fleet.judge.counts["node pauses"] += is_starved
-                fleet.judge.touch.disturb(node.name, before - LOOK_S, now)
+                fleet.judge.disruptions.add(node.name, before - LOOK_S, now)
 
 
 async def _until_ready(fleet: fleet_module.Fleet) -> None:
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -7,6 +7,7 @@
 
 from soak import judge as judge_module
 
+Promise = judge_module.Promise
 LOOKUP = judge_module.Sent(10.0, "n1", "s", True, 2.0)
 BOOKING = LOOKUP._replace(is_idempotent=False)
 RUN = judge_module.Run(10.1, "e1", "n2")
@@ -23,35 +24,35 @@
     return judge
 
 
-def rules(judge):
-    return [broken.rule for broken in judge.verdict()]
+def promises(judge):
+    return [broken.promise for broken in judge.verdict()]
 
 
 def test_kept_promises_are_no_findings():
     judge = observed(BOOKING)
     judge.on_answer("r", 10.3, 200, SEAL, BODY)
-    assert rules(judge) == []
+    assert promises(judge) == []
 
 
 def test_second_run_of_a_booking_is_found():
-    assert rules(observed(BOOKING, runs=2)) == ["TWICE"]
+    assert promises(observed(BOOKING, runs=2)) == [Promise.AT_MOST_ONCE]
 
 
 def test_idempotent_request_may_run_twice():
-    assert rules(observed(LOOKUP, runs=2)) == []
+    assert promises(observed(LOOKUP, runs=2)) == []
 
 
 def test_false_refusal_is_found():
     judge = observed(BOOKING)
     judge.on_answer("r", 10.3, 503, "", b"")
-    assert rules(judge) == ["REFUSED"]
+    assert promises(judge) == [Promise.TRUE_REFUSAL]
 
 
 def test_refused_request_that_runs_later_is_found():
     judge = observed(BOOKING, runs=0)
     judge.on_answer("r", 10.3, 503, "", b"")
     judge.on_run("r", RUN, 1.0)
-    assert rules(judge) == ["REFUSED"]
+    assert promises(judge) == [Promise.TRUE_REFUSAL]
 
 
 @pytest.mark.parametrize(
@@ -67,22 +68,22 @@
 def test_wrong_answer_is_found(status, seal, body):
     judge = observed()
     judge.on_answer("r", 10.3, status, seal, body)
-    assert rules(judge) == ["MIXED"]
+    assert promises(judge) == [Promise.OWN_ANSWER]
 
 
 def test_run_that_nobody_asked_for_is_found():
     judge = observed()
     judge.on_run("smuggled", RUN, 1.0)
-    assert rules(judge) == ["UNASKED"]
+    assert promises(judge) == [Promise.REQUESTED]
 
 
 def test_work_after_the_acknowledged_leaving_is_found():
     judge = observed()
     judge.on_leaving("e1", 10.0)
     judge.on_run("r", RUN._replace(at=10.0 + 2.4), 1.0)
-    assert rules(judge) == []
+    assert promises(judge) == []
     judge.on_run("r", RUN._replace(at=10.0 + 2.6), 1.0)
-    assert rules(judge) == ["DRAIN"]
+    assert promises(judge) == [Promise.LEAVING]
 
 
 def test_older_configuration_is_found():
@@ -90,34 +91,34 @@
     judge.on_version(4, 10.0)
     judge.on_version(6, 20.0)
     judge.on_probe("n1", 1, 4, 22.4)
-    assert rules(judge) == []
+    assert promises(judge) == []
     judge.on_probe("n1", 1, 4, 22.6)
-    assert rules(judge) == ["CONFIG"]
+    assert promises(judge) == [Promise.CONFIGURATION]
 
 
-def test_disturbed_node_may_be_late_but_never_goes_back():
+def test_disrupted_node_may_be_late_but_never_goes_back():
     judge = judge_module.Judge()
-    judge.touch.disturb("n1", 19.0, 21.0)
+    judge.disruptions.add("n1", 19.0, 21.0)
     judge.on_version(4, 10.0)
     judge.on_version(6, 20.0)
     judge.on_probe("n1", 1, 4, 24.0)
     judge.on_probe("n1", 1, 6, 24.1)
     judge.on_probe("n1", 2, 4, 24.5)
-    assert rules(judge) == []
+    assert promises(judge) == []
     judge.on_probe("n1", 1, 4, 24.5)
-    assert rules(judge) == ["CONFIG"]
+    assert promises(judge) == [Promise.CONFIGURATION]
 
 
 def test_request_cut_by_a_planned_stop_is_found():
     judge = observed(BOOKING)
     judge.on_cut("r", 10.15, is_planned=True)
-    assert rules(judge) == ["LOST"]
+    assert promises(judge) == [Promise.NOT_CUT]
 
 
 def test_request_that_crosses_a_close_is_allowed():
     judge = observed(BOOKING, runs=0)
     judge.on_cut("r", 10.1, is_planned=True)
-    assert rules(judge) == []
+    assert promises(judge) == []
 
 
 def test_too_many_repeats_are_found():
@@ -128,35 +129,43 @@
         judge.on_arrival(10.5 + number / 100, f"r{number}", "s")
         if number == 58:
             # 59 repeats of 59 requests; 59 * 0.2 + 48 are allowed.
-            assert rules(judge) == []
-    assert rules(judge) == []
+            assert promises(judge) == []
+    assert promises(judge) == []
     for number in range(2):
         judge.on_arrival(11.2, f"r{number}", "s")
-    assert rules(judge) == ["BUDGET"]
+    assert promises(judge) == [Promise.RETRY_BUDGET]
 
 
-def late(judge, rule):
-    """Observe four requests that break a bound for requests in touch."""
+def late(judge, promise):
+    """Observe four requests that break a bound in time."""
     for number in range(4):
         name = f"late-{number}"
         judge.on_sent(name, LOOKUP)
-        if rule == "BUDGET":
+        if promise == Promise.DEADLINE:
             judge.on_run(name, RUN, 2.5)
-        elif rule == "HELD":
+        elif promise == Promise.ANSWERED_IN_TIME:
             judge.on_answer(name, 12.6, 504, "", b"")
-        elif rule == "GONE":
+        elif promise == Promise.CANCELLED:
             judge.on_run(name, RUN, 1.9)
             judge.on_worked_on(name, 11.0, 10.4)
         else:
             judge.on_cut(name, 10.9, is_planned=False)
 
 
-@pytest.mark.parametrize("rule", ["BUDGET", "HELD", "GONE", "LOST"])
-def test_bounds_hold_for_nodes_in_touch_only(rule):
+@pytest.mark.parametrize(
+    "promise",
+    [
+        Promise.DEADLINE,
+        Promise.ANSWERED_IN_TIME,
+        Promise.CANCELLED,
+        Promise.NOT_CUT,
+    ],
+)
+def test_bounds_in_time_hold_for_undisrupted_nodes_only(promise):
     judge = judge_module.Judge()
-    late(judge, rule)
-    assert rules(judge) == [rule]
-    disturbed = judge_module.Judge()
-    disturbed.touch.disturb("n1", 7.0, 7.5)
-    late(disturbed, rule)
-    assert rules(disturbed) == []
+    late(judge, promise)
+    assert promises(judge) == [promise]
+    disrupted = judge_module.Judge()
+    disrupted.disruptions.add("n1", 7.0, 7.5)
+    late(disrupted, promise)
+    assert promises(disrupted) == []
