Show retries by service and cause, and what belongs to a retry

Logs and metrics could not tell the hypotheses on the retry budget apart: nothing counted retries by service, calls of retried runs looked like first attempts, and a resend on a stale connection was not visible.

An offer between nodes now tells whether its request, or one above it in the call chain, is a retry (protocol version 2 of the links); a call inherits this from the run that makes it. request_ended has arrivals and call_of_retry, job_ended is_retry and is_resent. The metrics have retries_total by service, cause and whether the budget allowed it, retries_in_window and retry_extra. No decision changes.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -13,7 +13,7 @@
 
 from clementinekeel.runtime import errors
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 HEADER_BYTES = 5
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Larger frames are a fault of the sender; a configuration has 1 MiB."""
@@ -95,6 +95,9 @@
         Time since the call chain started.
     depth : int
         Number of calls above this request in the call chain.
+    is_retry : bool
+        Whether this request, or one above it in its call chain, may have
+        arrived at a backend server before.
     is_idempotent : bool
         Whether the request is idempotent.
     is_head : bool
@@ -115,6 +118,7 @@
     rank: int
     chain_age_ms: int
     depth: int
+    is_retry: bool
     is_idempotent: bool
     is_head: bool
     head: bytes
--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -67,6 +67,15 @@
         self._extra = extra
         self._rounding = rounding
 
+    @property
+    def extra(self) -> float:
+        """Retries allowed in a window beyond the share of the requests."""
+        return self._extra
+
+    def retries(self, now: float) -> int:
+        """Return the number of retries in the window that ends now."""
+        return self._retries.total(now, 0)
+
     def on_first_attempt(self, now: float, is_urgent: bool) -> None:
         """Count a first attempt; not to be called for retries."""
         self._requests.add(now)
--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 import random
 
 from clementinekeel.admission import throttle
@@ -13,6 +13,7 @@
 from clementinekeel.routing import table
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import job as job_module
+from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
 RETRY_BUDGET_SHARES = (0.1, 0.15, 0.2, 0.75)
@@ -48,7 +49,9 @@
         settings: settings_module.SidecarSettings,
         find_job: Callable[[str], job_module.Job | None],
         count_nodes: Callable[[], int],
+        metrics: metrics_module.NodeMetrics,
     ) -> None:
+        self._metrics = metrics
         self._settings = settings
         self._find_job = find_job
         self._count_nodes = count_nodes
@@ -67,6 +70,17 @@
             for name, route_throttle in self._route_throttles.items()
         }
 
+    @property
+    def retry_samples(self) -> Iterator[metrics_module.Sample]:
+        """Retries and extra retries of each service in the window."""
+        now = self._loop.time()
+        for service, budget in self._retry_budgets.items():
+            labels = {"service": service}
+            yield metrics_module.Sample(
+                "retries_in_window", labels, budget.retries(now)
+            )
+            yield metrics_module.Sample("retry_extra", labels, budget.extra)
+
     def inherit(
         self, exchange: exchange_module.Exchange, route: table.Route
     ) -> None:
@@ -86,6 +100,7 @@
         exchange.parent_job = parent
         exchange.rank = offer.rank
         exchange.depth = offer.depth + 1
+        exchange.is_call_of_retry = parent.is_retry
         age_s = exchange.started_at - parent.arrived_at
         exchange.chain_age_ms = offer.chain_age_ms + round(age_s * 1000)
         exchange.expires_at = min(exchange.expires_at, parent.expires_at)
@@ -106,6 +121,10 @@
         self._retry_budget(exchange.service).on_first_attempt(
             self._loop.time(), exchange.rank == 0
         )
+        if exchange.is_call_of_retry:
+            self._metrics.on_retry(
+                exchange.service, metrics_module.RetryCause.CALL_OF_RETRY, True
+            )
 
     def try_consume_retry(
         self,
@@ -128,11 +147,17 @@
         depth = max(self._depths.get(exchange.service, 0), exchange.depth)
         self._depths[exchange.service] = depth
         share = RETRY_BUDGET_SHARES[min(depth, len(RETRY_BUDGET_SHARES) - 1)]
-        return self._retry_budget(exchange.service).try_consume(
+        is_allowed = self._retry_budget(exchange.service).try_consume(
             self._loop.time(),
             share * self._settings.retry_ratio,
             exchange.rank == 0,
         )
+        self._metrics.on_retry(
+            exchange.service,
+            metrics_module.RetryCause.OFFERED_AGAIN,
+            is_allowed,
+        )
+        return is_allowed
 
     def on_ended(
         self, exchange: exchange_module.Exchange, reason: str
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -170,6 +170,7 @@
             exchange.rank,
             exchange.chain_age_ms + round((now - exchange.started_at) * 1000),
             exchange.depth,
+            exchange.is_retry,
             route.is_idempotent,
             exchange.is_head,
             exchange.head,
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -25,6 +25,8 @@
         Calls above this request in its call chain.
     parent_job : Job or None
         Request of the local backend server that caused this one.
+    is_call_of_retry : bool
+        Whether a run that was a retry, or a call below one, made this request.
     is_admitted : bool
         Whether the request was routed and not throttled.
     offers : int
@@ -71,6 +73,7 @@
         self.chain_age_ms = 0
         self.depth = 0
         self.parent_job: job_module.Job | None = None
+        self.is_call_of_retry = False
         self.is_admitted = False
         self.offers = 0
         self.tried_nodes: set[str] = set()
@@ -87,6 +90,11 @@
         self.missing_answer_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_retry(self) -> bool:
+        """Whether the next offer counts as a retry at its service."""
+        return self.is_call_of_retry or self.backend_arrivals > 0
+
     def cancel(self) -> None:
         """End the request, since its caller has closed the connection."""
         self._on_cancel(self)
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -388,6 +388,11 @@
             self._pool.close_idle()
             if job.offer.is_idempotent and not job.is_resent:
                 job.is_resent = True
+                self._metrics.on_retry(
+                    self._settings.service,
+                    metrics_module.RetryCause.STALE_CONNECTION,
+                    True,
+                )
                 self._connect(job)
                 return
         self._count_quick_failure(age_s, failure.has_partial_answer)
@@ -516,6 +521,8 @@
             outcome=name,
             reason=reason,
             rank=job.offer.rank,
+            is_retry=job.offer.is_retry,
+            is_resent=job.is_resent,
             waited_ms=round(wait_ms),
             late_ms=round(
                 job.offer.remaining_ms
--- a/src/clementinekeel/sidecar/job.py
+++ b/src/clementinekeel/sidecar/job.py
@@ -67,3 +67,8 @@
         self.is_resent = False
         self.is_dependency_overloaded = False
         self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether the calls made for the request count as retries."""
+        return self.offer.is_retry or self.is_resent
--- a/src/clementinekeel/sidecar/metrics.py
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of a forwarding node."""
 
 from collections.abc import Iterable
+import enum
 from typing import NamedTuple
 
 from aioprometheus import collectors
@@ -25,6 +26,14 @@
 the longest deadline."""
 
 
+class RetryCause(enum.StrEnum):
+    """Why an arrival at a service counts as a retry."""
+
+    OFFERED_AGAIN = "offered_again"
+    CALL_OF_RETRY = "call_of_retry"
+    STALE_CONNECTION = "stale_connection"
+
+
 class Sample(NamedTuple):
     """Value of a gauge, read when the metrics are rendered."""
 
@@ -51,6 +60,8 @@
     Description("inbound_links", "Links that other nodes opened."),
     Description("caller_connections", "Open connections of callers."),
     Description("admitted_share", "Share of a route's requests that begin."),
+    Description("retries_in_window", "Retries of this node, by service."),
+    Description("retry_extra", "Retries beyond the share of the requests."),
     Description("listed", "1 if this node's entry is in the store."),
     Description("store_calls", "Calls to the store since the start."),
     Description("store_failures", "Those without a usable answer."),
@@ -73,6 +84,11 @@
             "Requests for the backend server that ended, by outcome.",
             registry=self._registry,
         )
+        self._retries = collectors.Counter(
+            PREFIX + "retries_total",
+            "Retries by service, cause, and whether the budget allowed them.",
+            registry=self._registry,
+        )
         self._request_ms = collectors.Histogram(
             PREFIX + "request_duration_ms",
             "Time from a request's first byte to its answer, by rank.",
@@ -119,6 +135,18 @@
         if service_ms is not None:
             self._service_ms.observe(labels, service_ms)
 
+    def on_retry(
+        self, service: str, cause: RetryCause, is_allowed: bool
+    ) -> None:
+        """Count a retry that is sent, or that the budget does not allow."""
+        self._retries.inc(
+            {
+                "service": service,
+                "cause": cause,
+                "allowed": "yes" if is_allowed else "no",
+            }
+        )
+
     def render(self, samples: Iterable[Sample]) -> bytes:
         """Return all metrics in the text format.
 
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -88,6 +88,7 @@
             settings,
             self._inbound_proxy.find_job,
             lambda: len(self._peers.known),
+            self._metrics,
         )
         self._outbound_proxy = outbound.OutboundProxy(
             settings,
@@ -262,6 +263,7 @@
         yield sample("caller_connections", len(self._connections))
         for route, share in self._chain.admitted_shares.items():
             yield sample("admitted_share", share, route=route)
+        yield from self._chain.retry_samples
         yield sample("listed", float(self._registration.is_listed))
         yield sample("store_calls", self._store_connections.calls)
         yield sample("store_failures", self._store_connections.failures)
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -329,6 +329,8 @@
             "depth": exchange.depth,
             "caller": exchange.connection.remote_host,
             "offers": exchange.offers,
+            "arrivals": exchange.backend_arrivals,
+            "call_of_retry": exchange.is_call_of_retry,
             "tried": ",".join(exchange.tried_nodes),
             "ms": round(duration_ms),
             "version": self.version,
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -189,6 +189,7 @@
             self.settings,
             self.inbound_proxy.find_job,
             lambda: len(self.peers.known),
+            self.metrics,
         )
         self.outbound_proxy = outbound.OutboundProxy(
             self.settings,
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -33,6 +33,7 @@
         "rank": 1,
         "chain_age_ms": 0,
         "depth": 0,
+        "is_retry": False,
         "is_idempotent": True,
         "is_head": False,
         "head": b"GET / HTTP/1.1\r\nid: r%d\r\n" % stream,
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -25,8 +25,8 @@
     def eof_received(self):
         return False
 
-    def send_hello(self, name="n9"):
-        hello = frames.Hello(1, name, 1, "z1", "r1", name, 5, 0)
+    def send_hello(self, name="n9", protocol=frames.PROTOCOL_VERSION):
+        hello = frames.Hello(protocol, name, 1, "z1", "r1", name, 5, 0)
         self.transport.write(frames.encode(hello))
 
 
@@ -59,3 +59,15 @@
         assert dialer.received[1].is_accepting
 
     run_with_dialer(scenario)
+
+
+def test_node_with_another_protocol_version_gets_no_link():
+    """Offers of an older build lack fields that the node needs."""
+
+    async def scenario(member, dialer):
+        dialer.send_hello(protocol=frames.PROTOCOL_VERSION - 1)
+        await harness.settle()
+        assert not any(p.link for p in member.peers.known)
+        assert "protocol_mismatch" in [event for event, _ in member.log.events]
+
+    run_with_dialer(scenario)
