Reproduce retries beyond the budget, as the operators count them

A listed test is expected to fail; one that passes fails the run, so that the fix takes its entry out.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Common configuration and fixtures of the tests."""
 
 import os
+import pathlib
 
 import hypothesis
 import pytest
@@ -20,6 +21,22 @@
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(items):
+    """Expect the tests that KNOWN-RED.txt lists to fail, and no others.
+
+    A listed test that passes fails the run, so that its entry is removed.
+    """
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    listed = {line.removeprefix("test: ") for line in lines}
+    for item in items:
+        if item.nodeid in listed:
+            reason = f"listed in {KNOWN_RED.name}"
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
 @pytest.fixture
 def anyio_backend():
     """Run async tests on trio; its clock advances when all tasks wait."""
--- a/tests/retries/test_window.py
+++ b/tests/retries/test_window.py
@@ -76,3 +76,27 @@
         in_window = [t for t in retries if start <= t < start + 10]
         recent = [t for t in requests if start - 11 <= t < start + 10]
         assert len(in_window) <= extra + SHARE * len(recent)
+
+
+def test_demand_that_moves_to_another_node_is_not_counted_twice():
+    """The busiest window of one node and that of another one may be at
+    different times; callers of a zone that move have only one budget.
+    """
+    budgets = [window.WindowedBudget(10, extra=0) for _ in range(2)]
+    requests, retries = [], []
+    for tick in range(800):
+        now = 100 + tick / 20
+        demand = (2, 1) if tick < 400 else (1, 2)
+        for budget, count in zip(budgets, demand, strict=True):
+            for _ in range(count):
+                budget.on_first_attempt(now, False)
+                requests.append(now)
+                if budget.try_consume(now, SHARE, False):
+                    retries.append(now)
+    for start in retries:
+        used = sum(start <= t < start + 10 for t in retries)
+        allowed = max(
+            sum(start - lag <= t < start - lag + 10 for t in requests)
+            for lag in (0, 5, 10)
+        )
+        assert used <= SHARE * allowed
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -233,10 +233,18 @@
 _request_ids = itertools.count()
 
 
-def send(member, path=b"/a/x", method=b"GET", body=b"", **headers):
+def send(
+    member,
+    path=b"/a/x",
+    method=b"GET",
+    body=b"",
+    connection=None,
+    **headers,
+):
     """Send a request as a caller; return its connection and exchange."""
-    connection = CallerConnection()
-    named_headers = [(b"host", b"h"), (b"id", b"r%d" % next(_request_ids))]
+    connection = connection or CallerConnection()
+    headers = {"id": b"r%d" % next(_request_ids), **headers}
+    named_headers = [(b"host", b"h")]
     named_headers += [(k.encode(), v) for k, v in headers.items()]
     request = http1_request(method, path, named_headers, body)
     return connection, member.outbound_proxy.handle(connection, request)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -303,3 +303,32 @@
         connection.answer(request_id, body=request_id)
 
     run_with_proxy(scenario, answer_old_first)
+
+
+def test_resends_on_stale_connections_are_within_the_retry_budget():
+    """A backend server that runs a short request and then resets the
+    connection looks like one that had closed it before.
+    """
+    requests = 200
+    arrived_once = set()
+
+    async def scenario(member, server, sender):
+        member.inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", sequence=2, slots=50)
+        )
+        for stream in range(1, requests + 1):
+            member.inbound_proxy.offer(sender, offer(stream))
+            await harness.settle(0.01)
+        arrived = [headers[b"id"] for _, headers, _ in server.requests]
+        resent = len(arrived) - len(set(arrived))
+        assert 0 < resent <= requests * harness.SETTINGS.retry_ratio
+
+    def lose_every_second_answer(connection, _headers, request_id):
+        is_lost = request_id not in arrived_once and len(arrived_once) % 2
+        arrived_once.add(request_id)
+        if is_lost:
+            connection.transport.abort()
+        else:
+            connection.answer(request_id)
+
+    run_with_proxy(scenario, lose_every_second_answer)
