--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -239,12 +239,13 @@
     method=b"GET",
     body=b"",
     connection=None,
+    request_id=None,
     **headers,
 ):
     """Send a request as a caller; return its connection and exchange."""
     connection = connection or CallerConnection()
-    headers = {"id": b"r%d" % next(_request_ids), **headers}
-    named_headers = [(b"host", b"h")]
+    request_id = request_id or b"r%d" % next(_request_ids)
+    named_headers = [(b"host", b"h"), (b"id", request_id)]
     named_headers += [(k.encode(), v) for k, v in headers.items()]
     request = http1_request(method, path, named_headers, body)
     return connection, member.outbound_proxy.handle(connection, request)
--- a/tests/sidecar/test_chain.py
+++ b/tests/sidecar/test_chain.py
@@ -110,7 +110,7 @@
             self._member,
             b"/%c/" % ord(service),
             connection=connection,
-            id=call_id,
+            request_id=call_id,
         )
         return await answered
 
@@ -129,7 +129,7 @@
 
 
 def run_chain_fleet(function, log, lost_share):
-    """Run a scenario with three nodes a service, all of which know each other."""
+    """Run a scenario with three nodes a service that know each other."""
 
     async def main():
         members = [
@@ -168,7 +168,7 @@
             request_id = b"r%d" % number
             log.on_sent("a", request_id)
             member = members[number % len(members)]
-            harness.send(member, b"/a/", id=request_id)
+            harness.send(member, b"/a/", request_id=request_id)
             await asyncio.sleep(0.05)
 
     run_chain_fleet(scenario, log, lost_share=0.3)
@@ -188,7 +188,7 @@
 
 def send_logged(member, log, request_id):
     log.on_sent("s", request_id)
-    harness.send(member, id=request_id)
+    harness.send(member, request_id=request_id)
 
 
 async def start_refusing_member(name, log):
