Divide the extra retries by all nodes that are known, over time

Callers of nodes that start while the store is down, or that are restarted in turn, got more repeats at backend servers than the rule BUDGET allows: each node divided the extra retries of a service once, by the nodes that it knew at the service's first request, and each new process had all of its part again.

Class of fault: a share of something common, computed from a view that may be incomplete, and kept in a state that a restart loses.

A node now divides by the most nodes that it has known, each time it uses the budget, has no part before it has read the list of nodes, and gains its part over the first window of its process. Windows with restarts have at most twice the part of all nodes, so that this part is 0.4 of the extra retries instead of 0.5.

--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -50,28 +50,27 @@
     ----------
     window_s : float
         Length of the operators' window.
-    extra : float
-        Retries allowed in a window beyond the share, for this node.
     rounding : float
         Fraction of a retry, from 0 to 1, that must remain in the budget
         before one more is allowed. Each node draws it at random, so that the
         sum over all nodes is close to their common budget.
+
+    Attributes
+    ----------
+    extra : float
+        Retries allowed in a window beyond the share, for this node; may
+        change, as other nodes are found.
     """
 
     def __init__(
-        self, window_s: float, extra: float, rounding: float = 1.0
+        self, window_s: float, extra: float = 0.0, rounding: float = 1.0
     ) -> None:
         self._requests = _BucketCounter(window_s)
         self._urgent = _BucketCounter(window_s)
         self._retries = _BucketCounter(window_s)
-        self._extra = extra
+        self.extra = extra
         self._rounding = rounding
 
-    @property
-    def extra(self) -> float:
-        """Retries allowed in a window beyond the share of the requests."""
-        return self._extra
-
     def retries(self, now: float) -> int:
         """Return the number of retries in the window that ends now."""
         return self._retries.total(now, 0)
@@ -95,7 +94,7 @@
             self._requests.total(now, 5),
             self._requests.total(now, 10),
         )
-        allowed = busiest * share + self._extra
+        allowed = busiest * share + self.extra
         if not is_urgent:
             allowed *= 1 - self._urgent_share(now)
         # The bucket that has just left the window still counts, because the
--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -9,6 +9,7 @@
 import random
 
 from clementinekeel.admission import throttle
+from clementinekeel.retries import extra as extra_module
 from clementinekeel.retries import window
 from clementinekeel.routing import table
 from clementinekeel.sidecar import exchange as exchange_module
@@ -21,9 +22,10 @@
 depth of the calls to it. A request that is retried makes its calls twice,
 which counts as retries at each downstream service, so that the shares along a
 call chain add up."""
-EXTRA_RETRY_SHARE = 0.5
-"""Share of the extra retries, which all nodes have in common, that the nodes
-divide among themselves; a node may not know all others yet."""
+EXTRA_RETRY_SHARE = 0.4
+"""Share of the extra retries, which all nodes have in common, that they divide
+among themselves. A window in which all processes are restarted has up to twice
+as many."""
 OVERLOAD_REASONS = frozenset(
     ("overload", "displaced", "deadline", "timeout", "throttled")
 )
@@ -41,7 +43,8 @@
         Returns the job of the backend server on this VM with a request
         identifier, or None.
     count_nodes : callable
-        Returns the number of known nodes, this one included.
+        Returns the number of known nodes, this one included; 0 if the list of
+        nodes was never read.
     """
 
     def __init__(
@@ -57,6 +60,12 @@
         self._count_nodes = count_nodes
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
+        self._window_s = settings.retry_window_ms / 1000
+        self._extra_retries = extra_module.ExtraRetries(
+            settings.extra_retries * EXTRA_RETRY_SHARE,
+            self._window_s,
+            self._loop.time(),
+        )
         self._retry_budgets: dict[str, window.WindowedBudget] = {}
         self._depths: dict[str, int] = {}
         self._route_throttles: dict[str, throttle.RouteThrottle] = {}
@@ -186,10 +195,10 @@
     def _retry_budget(self, service: str) -> window.WindowedBudget:
         budget = self._retry_budgets.get(service)
         if budget is None:
-            nodes = max(1, self._count_nodes())
             budget = self._retry_budgets[service] = window.WindowedBudget(
-                self._settings.retry_window_ms / 1000,
-                self._settings.extra_retries * EXTRA_RETRY_SHARE / nodes,
-                self._random.random(),
+                self._window_s, rounding=self._random.random()
             )
+        budget.extra = self._extra_retries.part(
+            self._loop.time(), self._count_nodes()
+        )
         return budget
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -87,7 +87,7 @@
         self._chain = chain.ChainPolicy(
             settings,
             self._inbound_proxy.find_job,
-            lambda: len(self._peers.known),
+            lambda: self._peers.node_count,
             self._metrics,
         )
         self._outbound_proxy = outbound.OutboundProxy(
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -55,6 +55,7 @@
         self._random = random.Random()
         self._inbound_proxy: inbound.InboundProxy | None = None
         self.outbound_proxy: Any = None
+        self._has_node_list = False
         self.versions = versions.VersionExchange(self._links, self._distance)
 
     @property
@@ -62,6 +63,11 @@
         """All nodes, this one included."""
         return self._peers.values()
 
+    @property
+    def node_count(self) -> int:
+        """Number of known nodes; 0 before the list of nodes was read."""
+        return len(self._peers) if self._has_node_list else 0
+
     @property
     def inbound_links(self) -> int:
         """Links that other nodes opened."""
@@ -142,6 +148,7 @@
 
     def set_listed(self, nodes: set[str]) -> None:
         """Record which nodes have an entry in the store."""
+        self._has_node_list = True
         for peer in self._peers.values():
             if peer.loopback is None:
                 peer.is_listed = peer.node in nodes
