Use a retry budget for resends on stale connections

Callers' lookups reached one backend server twice within a millisecond, without limit: the node beside it sends an idempotent request once more if a reused connection ends within 10 ms without an answer, and takes it for closed before. A backend server that runs the request and then resets the connection looks the same.

Class of fault: a retry below the layer that counts retries.

The node beside the backend server has a budget of its own for them, a tenth of the ratio and of the extra retries; what it does not allow fails, and the caller's node decides within its budget. Both sides use ServiceBudgets.

The test of a single stale connection now starts after the first window, in which the part of the extra retries grows.

--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -9,8 +9,7 @@
 import random
 
 from clementinekeel.admission import throttle
-from clementinekeel.retries import extra as extra_module
-from clementinekeel.retries import window
+from clementinekeel.retries import service_budgets
 from clementinekeel.routing import table
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import job as job_module
@@ -55,18 +54,15 @@
         metrics: metrics_module.NodeMetrics,
     ) -> None:
         self._metrics = metrics
-        self._settings = settings
         self._find_job = find_job
-        self._count_nodes = count_nodes
         self._loop = asyncio.get_running_loop()
         self._random = random.Random()
-        self._window_s = settings.retry_window_ms / 1000
-        self._extra_retries = extra_module.ExtraRetries(
-            settings.extra_retries * EXTRA_RETRY_SHARE,
-            self._window_s,
+        self._retry_budgets = service_budgets.ServiceBudgets(
+            settings.retry_limits,
+            EXTRA_RETRY_SHARE,
             self._loop.time(),
+            count_nodes,
         )
-        self._retry_budgets: dict[str, window.WindowedBudget] = {}
         self._depths: dict[str, int] = {}
         self._route_throttles: dict[str, throttle.RouteThrottle] = {}
 
@@ -83,7 +79,7 @@
     def retry_samples(self) -> Iterator[metrics_module.Sample]:
         """Retries and extra retries of each service in the window."""
         now = self._loop.time()
-        for service, budget in self._retry_budgets.items():
+        for service, budget in self._retry_budgets.by_service:
             labels = {"service": service}
             yield metrics_module.Sample(
                 "retries_in_window", labels, budget.retries(now)
@@ -127,8 +123,8 @@
 
     def on_first_attempt(self, exchange: exchange_module.Exchange) -> None:
         """Count a first attempt for the retry budget of its service."""
-        self._retry_budget(exchange.service).on_first_attempt(
-            self._loop.time(), exchange.rank == 0
+        self._retry_budgets.on_request(
+            exchange.service, self._loop.time(), exchange.rank == 0
         )
         if exchange.is_call_of_retry:
             self._metrics.on_retry(
@@ -156,10 +152,8 @@
         depth = max(self._depths.get(exchange.service, 0), exchange.depth)
         self._depths[exchange.service] = depth
         share = RETRY_BUDGET_SHARES[min(depth, len(RETRY_BUDGET_SHARES) - 1)]
-        is_allowed = self._retry_budget(exchange.service).try_consume(
-            self._loop.time(),
-            share * self._settings.retry_ratio,
-            exchange.rank == 0,
+        is_allowed = self._retry_budgets.try_consume(
+            exchange.service, self._loop.time(), share, exchange.rank == 0
         )
         self._metrics.on_retry(
             exchange.service,
@@ -191,14 +185,3 @@
                 throttle.RouteThrottle()
             )
         return route_throttle
-
-    def _retry_budget(self, service: str) -> window.WindowedBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = self._retry_budgets[service] = window.WindowedBudget(
-                self._window_s, rounding=self._random.random()
-            )
-        budget.extra = self._extra_retries.part(
-            self._loop.time(), self._count_nodes()
-        )
-        return budget
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -14,6 +14,7 @@
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.nodes import frames
+from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import job as job_module
 from clementinekeel.sidecar import metrics as metrics_module
@@ -25,6 +26,9 @@
 STALE_REUSE_S = 0.01
 """A reused connection that ends within this time without an answer had already
 been closed; an idempotent request is sent once more on a new connection."""
+RESEND_SHARE = 0.1
+"""Share of the platform's retry ratio and extra retries for these resends: the
+backend server may have run the request before it reset the connection."""
 SERVER_ERROR = 500
 """Lowest HTTP status that reports a failure of the backend server."""
 USABLE_SLOT_SHARE = 0.95
@@ -64,6 +68,8 @@
     ----------
     on_status_change : callable
         Called when the state that other nodes see may have changed.
+    count_nodes : callable
+        Returns the number of known nodes, 0 before their list was read.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         decisions: decision_log.DecisionLog,
         on_status_change: Callable[[], None],
         metrics: metrics_module.NodeMetrics,
+        count_nodes: Callable[[], int],
     ) -> None:
         self._metrics = metrics
         self._settings = settings
@@ -86,6 +93,9 @@
         )
         self._heartbeats = heartbeats.HeartbeatRecord()
         self._queue = slot_queue.SlotQueue()
+        self._resend_budgets = service_budgets.ServiceBudgets(
+            settings.retry_limits, RESEND_SHARE, self._loop.time(), count_nodes
+        )
         self._jobs: dict[int, job_module.Job] = {}
         self._jobs_by_request_id: dict[str, job_module.Job] = {}
         self._last_number = 0
@@ -285,6 +295,10 @@
 
     def _start(self, job: job_module.Job) -> None:
         job.started_at = self._loop.time()
+        if not job.offer.is_retry:
+            self._resend_budgets.on_request(
+                self._settings.service, job.started_at, job.offer.rank == 0
+            )
         connection = self._pool.acquire_idle(job.offer.is_idempotent)
         if connection is not None:
             self._send(job, connection)
@@ -386,18 +400,30 @@
         )
         if was_stale and not failure.has_partial_answer:
             self._pool.close_idle()
-            if job.offer.is_idempotent and not job.is_resent:
+            if self._try_consume_resend(job):
                 job.is_resent = True
-                self._metrics.on_retry(
-                    self._settings.service,
-                    metrics_module.RetryCause.STALE_CONNECTION,
-                    True,
-                )
                 self._connect(job)
                 return
         self._count_quick_failure(age_s, failure.has_partial_answer)
         self._fail(job, failure.reason)
 
+    def _try_consume_resend(self, job: job_module.Job) -> bool:
+        """Tell whether a request may be sent again, and use the budget."""
+        if not job.offer.is_idempotent or job.is_resent:
+            return False
+        is_allowed = self._resend_budgets.try_consume(
+            self._settings.service,
+            self._loop.time(),
+            RESEND_SHARE,
+            job.offer.rank == 0,
+        )
+        self._metrics.on_retry(
+            self._settings.service,
+            metrics_module.RetryCause.STALE_CONNECTION,
+            is_allowed,
+        )
+        return is_allowed
+
     def _count_quick_failure(self, age_s: float, has_bytes: bool) -> None:
         """Mark a backend server as down if it resets connections at once."""
         if has_bytes or age_s > QUICK_FAILURE_S:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -83,6 +83,7 @@
             self._decisions,
             self._on_status_change,
             self._metrics,
+            lambda: self._peers.node_count,
         )
         self._chain = chain.ChainPolicy(
             settings,
--- a/src/clementinekeel/sidecar/settings.py
+++ b/src/clementinekeel/sidecar/settings.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from clementinekeel.retries import service_budgets
+
 
 class Address(NamedTuple):
     """A TCP address."""
@@ -66,3 +68,10 @@
     retry_ratio: float
     extra_retries: int
     retry_window_ms: int
+
+    @property
+    def retry_limits(self) -> service_budgets.RetryLimits:
+        """Limits on the retries of a service."""
+        return service_budgets.RetryLimits(
+            self.retry_ratio, self.extra_retries, self.retry_window_ms / 1000
+        )
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -184,6 +184,7 @@
             self.log,
             self.peers.publish_own_status,
             self.metrics,
+            lambda: self.peers.node_count,
         )
         self.chain = chain.ChainPolicy(
             self.settings,
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -274,6 +274,10 @@
     """Backend servers close idle connections without notice."""
 
     async def scenario(member, server, sender):
+        # The node's part of the extra retries grows over the first window.
+        member.peers.set_listed({"n1"})
+        await harness.settle(10)
+        member.inbound_proxy.on_heartbeat(harness.heartbeat("n1", sequence=2))
         member.inbound_proxy.offer(sender, offer(1))
         await harness.settle()
         server.behave = lambda c, h, i: (
