Count demand that moves between nodes once in the retry budget

Callers that move from one zone to another gave the nodes of both zones the retries of all of them: each node followed the busiest of its own last three windows, and the sum of these exceeds the busiest window of the sum, which the operators count. Even one node exceeded it by 9 in 100, as its buckets of a second did not cover the operators' window.

Class of fault: a maximum taken at each node of what is bounded for all.

A node follows its present window, or half of a busier one before it, in 40 buckets, and counts the retries of one bucket more than a window. The budget no longer shrinks while callers are throttled, because requests count when callers send them, as in the operators' rule, and not only when they are first offered.

--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -5,8 +5,8 @@
 
 The budget handles backend servers that reject part of all requests for
 seconds while the number of requests falls, because callers are throttled. The
-number of allowed retries follows the busiest of the last windows, as the
-operators count them, and a part of it is reserved for urgent requests. The
+number of allowed retries follows the present window, or a part of a busier one
+before it, and a part of it is reserved for urgent requests. The
 nodes share the budget without coordination: each uses its own part, and a
 fraction of one retry is rounded up at some nodes, since 60 nodes with less
 than one retry each would otherwise use none of 91.
@@ -20,12 +20,22 @@
 """Reserved part as a multiple of the urgent requests' share of all requests;
 a service without urgent requests reserves nothing."""
 
+EARLIER_WINDOW_WEIGHT = 0.5
+"""Weight of the requests of an earlier window. The operators count the busiest
+of three windows over all nodes; if each node took its own busiest one, demand
+that moves from one node to another would count at both."""
+
+
+BUCKETS = 40
+"""Buckets of a window; the operators' window may begin within one, so that
+one more than a window's is counted."""
+
 
 class _BucketCounter:
-    """Counts in buckets of a tenth of a window, kept for two windows."""
+    """Counts in buckets of a part of a window, kept for two windows."""
 
     def __init__(self, window_s: float) -> None:
-        self._bucket_s = window_s / 10
+        self._bucket_s = window_s / BUCKETS
         self._counts: collections.deque[list[int]] = collections.deque()
 
     def add(self, now: float) -> None:
@@ -34,13 +44,15 @@
             self._counts[-1][1] += 1
             return
         self._counts.append([number, 1])
-        while self._counts[0][0] < number - 21:
+        while self._counts[0][0] < number - 2 * BUCKETS:
             self._counts.popleft()
 
-    def total(self, now: float, buckets_ago: int) -> int:
-        """Return the count in the window that ended some buckets ago."""
+    def total(
+        self, now: float, buckets_ago: int = 0, buckets: int = BUCKETS
+    ) -> int:
+        """Return the count in the span that ended some buckets ago."""
         last = int(now / self._bucket_s) - buckets_ago
-        return sum(n for b, n in self._counts if last - 10 < b <= last)
+        return sum(n for b, n in self._counts if last - buckets < b <= last)
 
 
 class WindowedBudget:
@@ -71,9 +83,13 @@
         self.extra = extra
         self._rounding = rounding
 
+    def requests(self, now: float) -> int:
+        """Return the number of requests in the window that ends now."""
+        return self._requests.total(now)
+
     def retries(self, now: float) -> int:
         """Return the number of retries in the window that ends now."""
-        return self._retries.total(now, 0)
+        return self._retries.total(now)
 
     def on_first_attempt(self, now: float, is_urgent: bool) -> None:
         """Count a first attempt; not to be called for retries."""
@@ -89,17 +105,17 @@
         share : float
             Retries allowed for each request of a window.
         """
-        busiest = max(
-            self._requests.total(now, 0),
-            self._requests.total(now, 5),
-            self._requests.total(now, 10),
+        earlier = max(
+            self._requests.total(now, BUCKETS // 2),
+            self._requests.total(now, BUCKETS),
+        )
+        requests = max(
+            self._requests.total(now), EARLIER_WINDOW_WEIGHT * earlier
         )
-        allowed = busiest * share + self.extra
+        allowed = requests * share + self.extra
         if not is_urgent:
             allowed *= 1 - self._urgent_share(now)
-        # The bucket that has just left the window still counts, because the
-        # operators' window may begin within it.
-        used = max(self._retries.total(now, 0), self._retries.total(now, 1))
+        used = self._retries.total(now, buckets=BUCKETS + 1)
         if used + self._rounding > allowed:
             return False
         self._retries.add(now)
@@ -107,6 +123,6 @@
 
     def _urgent_share(self, now: float) -> float:
         """Return the part of the budget reserved for urgent requests."""
-        requests = max(1, self._requests.total(now, 0))
-        share = self._urgent.total(now, 0) / requests
+        requests = max(1, self._requests.total(now))
+        share = self._urgent.total(now) / requests
         return min(URGENT_SHARE, URGENT_FACTOR * share)
--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -75,6 +75,11 @@
             for name, route_throttle in self._route_throttles.items()
         }
 
+    @property
+    def retry_budgets(self) -> service_budgets.ServiceBudgets:
+        """Retry budgets of this node."""
+        return self._retry_budgets
+
     @property
     def retry_samples(self) -> Iterator[metrics_module.Sample]:
         """Retries and extra retries of each service in the window."""
@@ -121,8 +126,12 @@
         share = self._route_throttle(route).admitted_share(self._loop.time())
         return self._random.random() >= share
 
-    def on_first_attempt(self, exchange: exchange_module.Exchange) -> None:
-        """Count a first attempt for the retry budget of its service."""
+    def on_request(self, exchange: exchange_module.Exchange) -> None:
+        """Count a request for the retry budget of its service.
+
+        Requests that the throttle refuses count too, so that the budget does
+        not shrink while it acts.
+        """
         self._retry_budgets.on_request(
             exchange.service, self._loop.time(), exchange.rank == 0
         )
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -74,9 +74,7 @@
         if peer is None:
             self._give_up(exchange, exchange.last_reason or "no_endpoint")
             return
-        if not exchange.offers:
-            self._chain.on_first_attempt(exchange)
-        elif exchange.backend_arrivals and not self._chain.try_consume_retry(
+        if exchange.backend_arrivals and not self._chain.try_consume_retry(
             exchange, route
         ):
             self._give_up(exchange, exchange.last_reason)
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -127,6 +127,7 @@
             else:
                 self._fail(exchange, status, reason)
             return None
+        self._chain.on_request(exchange)
         if self._chain.is_throttled(exchange):
             exchange.retry_after_ms = THROTTLED_RETRY_AFTER_MS
             self._refuse(exchange, "throttled")
--- a/tests/sidecar/test_chain.py
+++ b/tests/sidecar/test_chain.py
@@ -177,6 +177,30 @@
     log.assert_within_budget()
 
 
+def test_throttled_requests_count_for_the_retry_budget():
+    """The budget shrank with the share of requests that was admitted, while
+    backend servers failed as large a part of them as before.
+    """
+
+    async def main():
+        member = harness.Member("n1")
+        harness.BackendServer("n1", lambda *_: None)
+        member.inbound_proxy.on_heartbeat(harness.heartbeat("n1", slots=1))
+        for _ in range(200):
+            harness.send(member)
+            await harness.settle(0.01)
+        throttled = [
+            fields
+            for event, fields in member.log.events
+            if fields.get("reason") == "throttled"
+        ]
+        ((_, budget),) = member.chain.retry_budgets.by_service
+        assert throttled
+        assert budget.requests(asyncio.get_running_loop().time()) == 200
+
+    memory_loop.run(main)
+
+
 def refuse(log):
     """Return the behaviour of a backend server that refuses all requests."""
 
