Let calls of retries use the budget of the service that is called

Callers of chains of four services whose answers were lost got up to 1.6 times as many repeats at the deepest service as BUDGET allows, in a test with 12 nodes. A run that is repeated makes its calls again; the node that sends them counted them as first attempts, so that they used no budget and even raised it. The shares by depth added up to 1.2 of the ratio, and the extra retries of the services above are multiplied by the calls that a run makes.

Class of fault: a bound kept at each hop for what only holds for the whole chain.

A call of such a run now uses the budget of the called service at the node that sends it, and is refused as not run with the reason retry_budget if there is none. So the arrivals beyond the first stay within the budget whatever is retried above. Retries stop at 0.1, 0.25, 0.45 and 0.7 of the ratio by depth, calls of retries at 0.85, since refusing them wastes the runs above.

Failed before: 454 repeats at the deepest service in 10 s, 249 allowed.

--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -16,11 +16,14 @@
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
-RETRY_BUDGET_SHARES = (0.1, 0.15, 0.2, 0.75)
-"""Share of the platform's retry ratio that a node uses for a service, by the
-depth of the calls to it. A request that is retried makes its calls twice,
-which counts as retries at each downstream service, so that the shares along a
-call chain add up."""
+RETRY_BUDGET_SHARES = (0.1, 0.25, 0.45, 0.7)
+"""Share of the platform's retry ratio up to which a node retries requests to a
+service, by the depth of the calls to it. A request that is retried makes its
+calls again, which uses the budget of each downstream service, so that services
+above leave some of it to those below."""
+CALL_OF_RETRY_SHARE = 0.85
+"""Share of the ratio up to which a node sends calls of runs that are retries;
+the nodes beside the backend servers have the rest, for resends."""
 EXTRA_RETRY_SHARE = 0.4
 """Share of the extra retries, which all nodes have in common, that they divide
 among themselves. A window in which all processes are restarted has up to twice
@@ -115,6 +118,25 @@
         exchange.chain_age_ms = offer.chain_age_ms + round(age_s * 1000)
         exchange.expires_at = min(exchange.expires_at, parent.expires_at)
 
+    def may_begin(self, exchange: exchange_module.Exchange) -> bool:
+        """Tell whether a request may be offered for the first time.
+
+        A call of a run that is a retry uses the budget of the service that is
+        called. It may use the part that is reserved for urgent requests: if
+        it is refused, the run that made it is wasted.
+        """
+        if not exchange.is_call_of_retry:
+            return True
+        is_allowed = self._retry_budgets.try_consume(
+            exchange.service, self._loop.time(), CALL_OF_RETRY_SHARE, True
+        )
+        self._metrics.on_retry(
+            exchange.service,
+            metrics_module.RetryCause.CALL_OF_RETRY,
+            is_allowed,
+        )
+        return is_allowed
+
     def is_throttled(self, exchange: exchange_module.Exchange) -> bool:
         """Tell whether a request is to be refused by its route's throttle.
 
@@ -130,15 +152,13 @@
         """Count a request for the retry budget of its service.
 
         Requests that the throttle refuses count too, so that the budget does
-        not shrink while it acts.
+        not shrink while it acts. Calls of retries are retries themselves.
         """
+        if exchange.is_call_of_retry:
+            return
         self._retry_budgets.on_request(
             exchange.service, self._loop.time(), exchange.rank == 0
         )
-        if exchange.is_call_of_retry:
-            self._metrics.on_retry(
-                exchange.service, metrics_module.RetryCause.CALL_OF_RETRY, True
-            )
 
     def try_consume_retry(
         self,
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -3,7 +3,8 @@
 A refused request is offered to another endpoint. An idempotent request is also
 offered to another one when an endpoint fails, or does not answer for too long
 while another endpoint has free slots. An offer is a retry, and uses the retry
-budget, if the request may have arrived at a backend server before.
+budget, if the request may have arrived at a backend server before, or if the
+run that made it is a retry.
 """
 
 import asyncio
@@ -74,6 +75,9 @@
         if peer is None:
             self._give_up(exchange, exchange.last_reason or "no_endpoint")
             return
+        if not exchange.offers and not self._chain.may_begin(exchange):
+            self._give_up(exchange, "retry_budget")
+            return
         if exchange.backend_arrivals and not self._chain.try_consume_retry(
             exchange, route
         ):
