Bound answers that never end, in the head and all together

A node read them until the request's deadline: a head, chunk framing, trailers, interim answers and bodies of other requests without any bound, and a body up to 16 MiB on each of up to 100 connections, with 200 MB for the process.

The head of an answer may now have 64 KiB, all bytes received for one request 16 MiB, and all incomplete answers together 0.15 of the memory limit; above this the longest one fails. The request fails as after a lost answer, and the connection is reset.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from clementinekeel.backends import _answer_memory
+
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -27,7 +29,10 @@
 )
 """Headers of one connection, and headers that each hop sets itself."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Longer answers are failures: a node may use only 200 MB in total."""
+"""Bytes received for one request, with interim answers and those of other
+requests, above which it fails: a node may use only 200 MB in total."""
+MAX_HEAD_BYTES = 64 * 1024
+"""Longer heads of answers are failures; common servers stop at 8 to 64 KiB."""
 KEEP_ALIVE_SHARE = 0.5
 """Share of the server's keep-alive time for which idle connections are reused.
 
@@ -80,6 +85,8 @@
     id_header : bytes
         Name of the header in which answers repeat the identifier of their
         request; empty if answers have none.
+    memory : AnswerMemory or None
+        Memory for incomplete answers that connections of a pool share.
 
     Attributes
     ----------
@@ -89,8 +96,13 @@
         Requests sent on this connection.
     """
 
-    def __init__(self, id_header: bytes) -> None:
+    def __init__(
+        self,
+        id_header: bytes,
+        memory: _answer_memory.AnswerMemory | None = None,
+    ) -> None:
         self._id_header = id_header
+        self._memory = memory
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -102,7 +114,9 @@
         self._is_mismatched = False
         self._reads_until_close = False
         self._has_partial_answer = False
-        self._body_bytes = 0
+        self._received_bytes = 0
+        self._head_bytes = 0
+        self._is_reading_head = True
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body_parts: list[bytes] = []
@@ -136,6 +150,8 @@
         self._request_id = request_id
         self._is_head = is_head
         self._has_partial_answer = False
+        self._received_bytes = 0
+        self._head_bytes = 0
         self.request_count += 1
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -146,6 +162,7 @@
     def cancel(self) -> None:
         """Reset the connection without reporting an outcome."""
         self._on_outcome = None
+        self._release_memory()
         self._must_close = True
         if self._transport is not None:
             self._transport.abort()
@@ -156,6 +173,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail_answer(self, reason: str) -> None:
+        """Reset the connection; the current request fails with a reason."""
+        self.abort()
+        self._finish(Failure(reason, True))
+
     def close(self) -> None:
         """Close the connection after all data was sent."""
         self._must_close = True
@@ -191,6 +213,8 @@
         # the answer of the next request.
         if self._outcome is not None:
             self._finish(self._outcome)
+        else:
+            self._bound_answer(len(data))
 
     def eof_received(self) -> bool:
         """Complete an answer that ends when the connection closes."""
@@ -212,7 +236,8 @@
         self._headers = []
         self._body_parts = []
         self._reason = b""
-        self._body_bytes = 0
+        self._is_reading_head = True
+        self._head_bytes = 0
         self._is_mismatched = False
         self._reads_until_close = False
         if self._on_outcome is None or self._outcome is not None:
@@ -228,6 +253,7 @@
 
     def on_headers_complete(self) -> None:
         """Check the identifier of the answer and how its body ends."""
+        self._is_reading_head = False
         if self._outcome is not None:
             return
         if self._id_header:
@@ -252,10 +278,6 @@
         if self._is_mismatched or self._outcome is not None:
             return
         self._body_parts.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            self._must_close = True
-            self._outcome = Failure("answer too long", True)
 
     def on_message_complete(self) -> None:
         """Complete an answer whose length is known."""
@@ -268,6 +290,22 @@
             self._must_close = True
         self._complete(status)
 
+    def _bound_answer(self, size: int) -> None:
+        """Fail an incomplete answer that is too long."""
+        self._received_bytes += size
+        if self._is_reading_head:
+            self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.fail_answer("head of the answer too long")
+        elif self._received_bytes > MAX_ANSWER_BYTES:
+            self.fail_answer("answer too long")
+        elif self._memory is not None:
+            self._memory.add(self, size)
+
+    def _release_memory(self) -> None:
+        if self._memory is not None:
+            self._memory.release(self)
+
     def _read_keep_alive(self, value: bytes) -> None:
         for item in value.split(b","):
             name, _, number = item.strip().partition(b"=")
@@ -289,6 +327,7 @@
     def _finish(self, outcome: Outcome) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
         self._outcome = None
+        self._release_memory()
         self.idle_since = self._loop.time()
         if on_outcome is not None:
             on_outcome(outcome)
--- a/src/clementinekeel/backends/local.py
+++ b/src/clementinekeel/backends/local.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from clementinekeel.backends import _answer_memory
 from clementinekeel.backends import http1
 
 CONNECT_TIMEOUT_S = 0.5
@@ -62,9 +63,18 @@
         Address of the backend server.
     id_header : bytes
         See ``http1.HttpConnection``.
+    memory_bytes : int
+        Largest number of bytes of all incomplete answers together.
     """
 
-    def __init__(self, host: str, port: int, id_header: bytes) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        id_header: bytes,
+        memory_bytes: int = http1.MAX_ANSWER_BYTES,
+    ) -> None:
+        self._memory = _answer_memory.AnswerMemory(memory_bytes)
         self._host = host
         self._port = port
         self._id_header = id_header
@@ -102,7 +112,7 @@
         """
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await self._loop.create_connection(
-                lambda: http1.HttpConnection(self._id_header),
+                lambda: http1.HttpConnection(self._id_header, self._memory),
                 self._host,
                 self._port,
             )
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -29,6 +29,8 @@
 RESEND_SHARE = 0.1
 """Share of the platform's retry ratio and extra retries for these resends: the
 backend server may have run the request before it reset the connection."""
+ANSWER_MEMORY_SHARE = 0.15
+"""Share of the memory limit that incomplete answers may take."""
 SERVER_ERROR = 500
 """Lowest HTTP status that reports a failure of the backend server."""
 USABLE_SLOT_SHARE = 0.95
@@ -89,7 +91,12 @@
         self._loop = asyncio.get_running_loop()
         backend = settings.backend
         self._pool = local.LocalPool(
-            backend.host, backend.port, dialect.request_id
+            backend.host,
+            backend.port,
+            dialect.request_id,
+            round(
+                settings.memory_mb * settings_module.MIB * ANSWER_MEMORY_SHARE
+            ),
         )
         self._heartbeats = heartbeats.HeartbeatRecord()
         self._queue = slot_queue.SlotQueue()
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -39,7 +39,6 @@
 """Descriptors reserved for links, the backend server, the store and files."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
-MIB = 1024 * 1024
 STOP_MARGIN_S = 0.8
 """Time between the end of a planned stop and the kill."""
 BACKEND_DRAIN_S = 1.4
@@ -240,7 +239,12 @@
 
     def _has_memory_for(self, size: int) -> bool:
         held_bytes = sum(c.buffered_bytes for c in self._connections) + size
-        return held_bytes < self._settings.memory_mb * MIB * BODY_MEMORY_SHARE
+        return (
+            held_bytes
+            < self._settings.memory_mb
+            * settings_module.MIB
+            * BODY_MEMORY_SHARE
+        )
 
     def _render_metrics(self) -> bytes:
         return self._metrics.render(self._samples())
--- a/src/clementinekeel/sidecar/settings.py
+++ b/src/clementinekeel/sidecar/settings.py
@@ -4,6 +4,8 @@
 
 from clementinekeel.retries import service_budgets
 
+MIB = 1024 * 1024
+
 
 class Address(NamedTuple):
     """A TCP address."""
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -154,3 +154,114 @@
         assert not connection.is_reusable
 
     memory_loop.run(main)
+
+
+class EndlessServer(asyncio.Protocol):
+    """Sends the start of an answer and then a part of it until closed."""
+
+    sent_bytes = 0
+
+    def __init__(self, start, part):
+        self._start = start
+        self._part = part
+        self._writing = None
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, _data):
+        self._writing = asyncio.get_running_loop().create_task(self._write())
+
+    async def _write(self):
+        self.transport.write(self._start)
+        while not self.transport.is_closing():
+            self.transport.write(self._part)
+            EndlessServer.sent_bytes += len(self._part)
+            await asyncio.sleep(0.001)
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, _error):
+        self._writing.cancel()
+
+
+HEAD_PART = b"x" * 4_000
+BODY_PART = b"x" * 400_000
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def read_endless_answer(start, part, settle_s=0.5):
+    """Return the outcomes and the bytes that were sent until the close."""
+
+    async def main():
+        EndlessServer.sent_bytes = 0
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: EndlessServer(start, part), "b", 1)
+        _, connection = await loop.create_connection(
+            lambda: http1.HttpConnection(b"id"), "b", 1
+        )
+        outcomes = []
+        connection.send(b"GET /\r\n\r\n", b"", b"r1", False, outcomes.append)
+        await harness.settle(settle_s)
+        connection.cancel()
+        return outcomes, EndlessServer.sent_bytes
+
+    return memory_loop.run(main)
+
+
+@pytest.mark.parametrize(
+    ("start", "part", "max_bytes"),
+    [
+        pytest.param(b"HTTP/1.1 200 ", HEAD_PART, 128_000, id="reason"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n", HEAD_PART, 128_000, id="name"),
+        pytest.param(OK + b"a: ", HEAD_PART, 128_000, id="value"),
+        pytest.param(OK, b"a: b\r\n" * 700, 128_000, id="headers"),
+        pytest.param(
+            b"",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 16_000,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="interim answers",
+        ),
+        pytest.param(
+            b"", OTHER * 10_000, http1.MAX_ANSWER_BYTES + 1_000_000, id="older"
+        ),
+        pytest.param(
+            OK + b"\r\n",
+            BODY_PART,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="body without length",
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nid: r0\r\n\r\n",
+            BODY_PART,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="body of another request",
+        ),
+        pytest.param(
+            CHUNKED,
+            b"1\r\nx\r\n" * 60_000,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="chunks",
+        ),
+        pytest.param(
+            CHUNKED + b"1;",
+            BODY_PART,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="chunk extension",
+        ),
+        pytest.param(
+            CHUNKED + b"0\r\na: ",
+            BODY_PART,
+            http1.MAX_ANSWER_BYTES + 1_000_000,
+            id="trailer",
+        ),
+    ],
+)
+def test_answer_without_end_fails_within_a_bound(start, part, max_bytes):
+    """A faulty backend server sends bytes until the connection is closed;
+    they once stayed in memory until the request's deadline.
+    """
+    outcomes, sent_bytes = read_endless_answer(start, part)
+    assert [type(outcome) for outcome in outcomes] == [http1.Failure]
+    assert sent_bytes <= max_bytes
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -1,5 +1,7 @@
 """The inbound proxy: which requests reach the backend server."""
 
+import asyncio
+
 import pytest
 
 from clementinekeel.membership import heartbeats
@@ -336,3 +338,43 @@
             connection.answer(request_id)
 
     run_with_proxy(scenario, lose_every_second_answer)
+
+
+def test_answers_without_end_do_not_fill_the_memory():
+    """Each of 95 answers may be long, but not all of them together."""
+    limit = harness.SETTINGS.memory_mb * 1024 * 1024 / 4
+    held = []
+
+    async def scenario(member, server, sender):
+        member.inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", sequence=2, slots=40)
+        )
+        for stream in range(1, 41):
+            member.inbound_proxy.offer(
+                sender, offer(stream, remaining_ms=30_000)
+            )
+        for _ in range(100):
+            await harness.settle(0.01)
+            held.append(
+                sum(
+                    len(c.transport.written)
+                    for c in server.connections
+                    if not c.transport.is_closing()
+                )
+            )
+        assert max(held) <= limit
+        assert {type(f) for f in sender.frames} == {frames.Failure}
+
+    async def write_until_closed(connection, request_id):
+        connection.transport.write(
+            b"HTTP/1.1 200 OK\r\nid: %s\r\n\r\n" % request_id
+        )
+        while not connection.transport.is_closing():
+            connection.transport.write(b"x" * 50_000)
+            await asyncio.sleep(0.01)
+
+    def answer_without_end(connection, _headers, request_id):
+        work = write_until_closed(connection, request_id)
+        asyncio.get_running_loop().create_task(work)
+
+    run_with_proxy(scenario, answer_without_end)
