Do not refuse a resent request as not run

A caller could be told that its lookup had not run although it had, and the arrival was not counted for the retry budget: if the backend server was replaced, or the time was up, while a request that had been sent once waited for a new connection, the node beside it refused it. Found while looking for other arrivals that no budget counts.

Such a request now fails, which promises nothing, as when no connection could be opened.

Failed before: Refusal instead of Failure for the resent request.

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -330,21 +330,24 @@
             heartbeat is not None and heartbeat.endpoint != job.offer.endpoint
         ):
             self._pool.release(connection)
-            self._end(job, "replaced", "replaced")
+            self._give_up_connecting(job, "replaced")
         elif job.expires_at <= self._loop.time():
             self._pool.release(connection)
-            self._end(job, "deadline", "deadline")
+            self._give_up_connecting(job, "deadline")
         else:
             self._send(job, connection)
 
     def _on_unreachable(self, job: job_module.Job, error: Exception) -> None:
         self._mark_down(type(error).__name__, UNREACHABLE_PAUSE_S)
-        if job.has_ended:
-            return
+        if not job.has_ended:
+            self._give_up_connecting(job, "backend_unreachable")
+
+    def _give_up_connecting(self, job: job_module.Job, reason: str) -> None:
+        """End a job that can't be sent; refuse it only if it never was."""
         if job.is_resent:
-            self._fail(job, "backend_unreachable")
+            self._fail(job, reason)
         else:
-            self._end(job, "backend_unreachable", "backend_unreachable")
+            self._end(job, reason, reason)
 
     def _send(
         self, job: job_module.Job, connection: http1.HttpConnection
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -311,6 +311,40 @@
     run_with_proxy(scenario, answer_old_first)
 
 
+def test_resent_request_is_not_refused_as_not_run():
+    """The backend server is replaced while a request that it may have run
+    waits for a new connection.
+    """
+
+    async def scenario(member, server, sender):
+        member.peers.set_listed({"n1"})
+        await harness.settle(10)
+        member.inbound_proxy.on_heartbeat(harness.heartbeat("n1", sequence=2))
+        member.inbound_proxy.offer(sender, offer(1))
+        await harness.settle()
+
+        def replace(connection, _headers, _request_id):
+            connection.transport.abort()
+            replacement = harness.heartbeat(
+                "n1", endpoint="e-new", incarnation_ms=2
+            )
+            asyncio.get_running_loop().call_later(
+                0.001, member.inbound_proxy.on_heartbeat, replacement
+            )
+
+        server.behave = replace
+        asyncio.get_running_loop().delay_s = 0.002
+        member.inbound_proxy.offer(sender, offer(2))
+        await harness.settle()
+        assert len(server.requests) == 2
+        assert [type(f) for f in sender.frames] == [
+            frames.Answer,
+            frames.Failure,
+        ]
+
+    run_with_proxy(scenario)
+
+
 def test_resends_on_stale_connections_are_within_the_retry_budget():
     """A backend server that runs a short request and then resets the
     connection looks like one that had closed it before.
