Leave retries of deep services room beside those above

Resends have 0.05 of the ratio instead of 0.1; retries stop at 0.1, 0.3, 0.55 and 0.8 by depth, calls of retries at 0.9. All together stay at 0.95 of the ratio.

--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -16,12 +16,12 @@
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
-RETRY_BUDGET_SHARES = (0.1, 0.25, 0.45, 0.7)
+RETRY_BUDGET_SHARES = (0.1, 0.3, 0.55, 0.8)
 """Share of the platform's retry ratio up to which a node retries requests to a
 service, by the depth of the calls to it. A request that is retried makes its
 calls again, which uses the budget of each downstream service, so that services
 above leave some of it to those below."""
-CALL_OF_RETRY_SHARE = 0.85
+CALL_OF_RETRY_SHARE = 0.9
 """Share of the ratio up to which a node sends calls of runs that are retries;
 the nodes beside the backend servers have the rest, for resends."""
 EXTRA_RETRY_SHARE = 0.4
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -26,7 +26,7 @@
 STALE_REUSE_S = 0.01
 """A reused connection that ends within this time without an answer had already
 been closed; an idempotent request is sent once more on a new connection."""
-RESEND_SHARE = 0.1
+RESEND_SHARE = 0.05
 """Share of the platform's retry ratio and extra retries for these resends: the
 backend server may have run the request before it reset the connection."""
 ANSWER_MEMORY_SHARE = 0.15
