Leave requests with their endpoint while a node stops

A planned stop broke off a lookup at which its endpoint was at work: a retry after silence takes the request back, and if the other endpoint refuses it, the caller gets 502.

A stopping node no longer retries after silence. Failed before: 502 instead of 200 in test_outbound.

--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -178,7 +178,13 @@
         self._dispatcher.on_failure(exchange, reason)
 
     def tick(self) -> None:
-        """Retry the requests whose attempt has timed out."""
+        """Retry the requests whose attempt has timed out.
+
+        A stopping node leaves them where they are: the endpoint may be at
+        work, and a planned stop must not interrupt it.
+        """
+        if self.is_stopping:
+            return
         self._dispatcher.tick(self._active)
 
     def _prepare(
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -219,6 +219,43 @@
     run_with_preferred_node(scenario)
 
 
+def answer_late(connection, _headers, request_id):
+    """Answer after the timeout of an attempt and before the deadline."""
+    asyncio.get_running_loop().call_later(0.6, connection.answer, request_id)
+
+
+def refuse_all(connection, _headers, request_id):
+    connection.answer(request_id, 503, b"Not-Run: 1\r\n")
+
+
+def test_request_taken_back_is_not_lost_when_another_endpoint_refuses_it():
+    """The endpoint that was at work would have answered in time."""
+
+    async def scenario(members, servers):
+        servers[1].behave, servers[2].behave = answer_late, refuse_all
+        connection, _ = harness.send(members[0])
+        await wait_with_ticks(members[0], 0.9)
+        assert [status for status, _, _ in connection.answers] == [200]
+
+    run_with_preferred_node(scenario)
+
+
+def test_stopping_node_does_not_take_a_request_back_from_its_endpoint():
+    """The other endpoint refused the request, so that the planned stop ended
+    one at which an endpoint was at work.
+    """
+
+    async def scenario(members, servers):
+        servers[1].behave, servers[2].behave = answer_late, refuse_all
+        connection, _ = harness.send(members[0])
+        await harness.settle(0.1)
+        members[0].outbound_proxy.is_stopping = True
+        await wait_with_ticks(members[0], 0.8)
+        assert [status for status, _, _ in connection.answers] == [200]
+
+    run_with_preferred_node(scenario)
+
+
 def test_request_is_not_retried_when_all_endpoints_are_full():
     """Overload delays answers too, and retries would add to it."""
 
