Hold an incomplete answer in one buffer

The bounds on answers count received bytes, but a body of many small chunks took several times its bytes in memory, one object for each.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -119,7 +119,9 @@
         self._is_reading_head = True
         self._reason = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body_parts: list[bytes] = []
+        # Not a list of parts: many small chunks would take several times
+        # their bytes.
+        self._body = bytearray()
         self._keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
         self.idle_since = self._loop.time()
         self.request_count = 0
@@ -234,7 +236,7 @@
     def on_message_begin(self) -> None:
         """Start to read an answer."""
         self._headers = []
-        self._body_parts = []
+        self._body = bytearray()
         self._reason = b""
         self._is_reading_head = True
         self._head_bytes = 0
@@ -277,7 +279,7 @@
         """Add a part of the body."""
         if self._is_mismatched or self._outcome is not None:
             return
-        self._body_parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete an answer whose length is known."""
@@ -320,8 +322,8 @@
                     item.strip().lower() for item in value.split(b",")
                 )
         headers = [item for item in self._headers if item[0] not in dropped]
-        body = b"".join(self._body_parts)
-        self._body_parts = []
+        body = bytes(self._body)
+        self._body = bytearray()
         self._outcome = Answer(status, self._reason, headers, body)
 
     def _finish(self, outcome: Outcome) -> None:
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -1,6 +1,7 @@
 """Valid and faulty answers; none may reach the caller of another request."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -10,6 +11,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\nid: r1\r\n"
 OTHER = b"HTTP/1.1 200 OK\r\nid: r0\r\nContent-Length: 3\r\n\r\nold"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 WHOLE = OK + b"Content-Length: 4\r\n\r\nfine"
 
 
@@ -137,6 +139,16 @@
     assert outcome.headers == [(b"id", b"r1"), (b"seal", b"s")]
 
 
+def test_small_chunks_take_no_more_memory_than_their_bytes():
+    """The bounds on answers count received bytes."""
+    chunks = b"2\r\nxy\r\n" * 200_000
+    tracemalloc.start()
+    send_request([CHUNKED + chunks])
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak_bytes < 4 * len(chunks)
+
+
 def test_idle_connection_is_left_before_the_server_closes_it():
     """A request sent while the server closes may or may not have run."""
 
@@ -188,7 +200,6 @@
 
 HEAD_PART = b"x" * 4_000
 BODY_PART = b"x" * 400_000
-CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 def read_endless_answer(start, part, settle_s=0.5):
