Drop trailer fields of answers

A caller got the trailer fields of a chunked answer as headers, after those of the head: a faulty backend server could so add a second value of any header. Found while bounding answers that never end.

Failed before: the trailer's seal among the headers.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -250,7 +250,9 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
+        """Add a header; trailer fields are dropped."""
+        if not self._is_reading_head:
+            return
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -139,6 +139,16 @@
     assert outcome.headers == [(b"id", b"r1"), (b"seal", b"s")]
 
 
+def test_trailer_fields_are_not_taken_for_headers():
+    trailer = b"0\r\nseal: other\r\n\r\n"
+    script = [
+        OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n" + trailer
+    ]
+    (answer,), _ = send_request(script)
+    assert answer.body == b"fine"
+    assert b"seal" not in dict(answer.headers)
+
+
 def test_small_chunks_take_no_more_memory_than_their_bytes():
     """The bounds on answers count received bytes."""
     chunks = b"2\r\nxy\r\n" * 200_000
