Count calls of retries apart from the retries of a service

Calls of retries used the part that was not reserved for urgent requests, so that lookups were not retried.

Retries have a share of the ratio of their own, of which a part is reserved as before, and stop at a total that includes calls of retries. The shares of the services above grow, since the total bounds them.

--- a/src/clementinekeel/retries/service_budgets.py
+++ b/src/clementinekeel/retries/service_budgets.py
@@ -26,6 +26,22 @@
     window_s: float
 
 
+class RetryShares(NamedTuple):
+    """Parts of the operators' ratio that retries to a service may use.
+
+    Attributes
+    ----------
+    retries : float
+        Part for requests that are offered again; some of it is reserved for
+        urgent requests.
+    total : float
+        Part at which such retries stop, calls of retries included.
+    """
+
+    retries: float
+    total: float
+
+
 class ServiceBudgets:
     """Budgets by service, with one part of the extra retries each.
 
@@ -64,18 +80,36 @@
         self._budget(service).on_first_attempt(now, is_urgent)
 
     def try_consume(
-        self, service: str, now: float, share: float, is_urgent: bool
+        self,
+        service: str,
+        now: float,
+        shares: RetryShares,
+        is_urgent: bool,
     ) -> bool:
-        """Use one retry; return False if the budget has none.
+        """Use one retry; return False if the budget has none."""
+        ratio = self._limits.ratio
+        return self._updated_budget(service, now).try_consume(
+            now, shares.retries * ratio, is_urgent, shares.total * ratio
+        )
+
+    def try_consume_call(self, service: str, now: float, total: float) -> bool:
+        """Use the budget for a call of a retry; return False if it has none.
 
         Parameters
         ----------
-        share : float
-            Share of the operators' ratio that may be used.
+        total : float
+            As in ``RetryShares``.
         """
+        return self._updated_budget(service, now).try_consume_call(
+            now, total * self._limits.ratio
+        )
+
+    def _updated_budget(
+        self, service: str, now: float
+    ) -> window.WindowedBudget:
         budget = self._budget(service)
         budget.extra = self._extra_retries.part(now, self._count_nodes())
-        return budget.try_consume(now, share * self._limits.ratio, is_urgent)
+        return budget
 
     def _budget(self, service: str) -> window.WindowedBudget:
         budget = self._budgets.get(service)
--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -80,6 +80,7 @@
         self._requests = _BucketCounter(window_s)
         self._urgent = _BucketCounter(window_s)
         self._retries = _BucketCounter(window_s)
+        self._calls_of_retries = _BucketCounter(window_s)
         self.extra = extra
         self._rounding = rounding
 
@@ -87,9 +88,11 @@
         """Return the number of requests in the window that ends now."""
         return self._requests.total(now)
 
-    def retries(self, now: float) -> int:
-        """Return the number of retries in the window that ends now."""
-        return self._retries.total(now)
+    def retries(self, now: float, buckets: int = BUCKETS) -> int:
+        """Return the number of retries and of calls of retries until now."""
+        return self._retries.total(
+            now, buckets=buckets
+        ) + self._calls_of_retries.total(now, buckets=buckets)
 
     def on_first_attempt(self, now: float, is_urgent: bool) -> None:
         """Count a first attempt; not to be called for retries."""
@@ -97,30 +100,59 @@
         if is_urgent:
             self._urgent.add(now)
 
-    def try_consume(self, now: float, share: float, is_urgent: bool) -> bool:
+    def try_consume(
+        self,
+        now: float,
+        share: float,
+        is_urgent: bool,
+        total_share: float | None = None,
+    ) -> bool:
         """Use one retry; return False if the budget has none.
 
         Parameters
         ----------
         share : float
-            Retries allowed for each request of a window.
+            Retries allowed for each request of a window; a part of them is
+            reserved for urgent requests.
+        total_share : float or None
+            Retries and calls of retries allowed together; None for ``share``.
         """
-        earlier = max(
-            self._requests.total(now, BUCKETS // 2),
-            self._requests.total(now, BUCKETS),
-        )
-        requests = max(
-            self._requests.total(now), EARLIER_WINDOW_WEIGHT * earlier
-        )
+        total = share if total_share is None else total_share
+        requests = self._counted_requests(now)
         allowed = requests * share + self.extra
         if not is_urgent:
             allowed *= 1 - self._urgent_share(now)
         used = self._retries.total(now, buckets=BUCKETS + 1)
         if used + self._rounding > allowed:
             return False
+        if not self._has_room(now, requests * total):
+            return False
         self._retries.add(now)
         return True
 
+    def try_consume_call(self, now: float, total_share: float) -> bool:
+        """Use the budget for a call of a retry; return False if it has none.
+
+        Nothing is reserved from such calls: if one is refused, the run that
+        made it is wasted.
+        """
+        if not self._has_room(now, self._counted_requests(now) * total_share):
+            return False
+        self._calls_of_retries.add(now)
+        return True
+
+    def _counted_requests(self, now: float) -> float:
+        earlier = max(
+            self._requests.total(now, BUCKETS // 2),
+            self._requests.total(now, BUCKETS),
+        )
+        return max(self._requests.total(now), EARLIER_WINDOW_WEIGHT * earlier)
+
+    def _has_room(self, now: float, allowed: float) -> bool:
+        """Tell whether one more retry of any kind is allowed."""
+        used = self.retries(now, BUCKETS + 1)
+        return used + self._rounding <= allowed + self.extra
+
     def _urgent_share(self, now: float) -> float:
         """Return the part of the budget reserved for urgent requests."""
         requests = max(1, self._requests.total(now))
--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -16,11 +16,16 @@
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
 
-RETRY_BUDGET_SHARES = (0.1, 0.3, 0.55, 0.8)
-"""Share of the platform's retry ratio up to which a node retries requests to a
-service, by the depth of the calls to it. A request that is retried makes its
-calls again, which uses the budget of each downstream service, so that services
-above leave some of it to those below."""
+RETRY_SHARES = (
+    service_budgets.RetryShares(0.2, 0.25),
+    service_budgets.RetryShares(0.25, 0.45),
+    service_budgets.RetryShares(0.3, 0.65),
+    service_budgets.RetryShares(0.8, 0.8),
+)
+"""Parts of the platform's retry ratio for retries to a service, by the depth
+of the calls to it. A request that is retried makes its calls again, which uses
+the budget of each downstream service, so that services above leave some of it
+to those below."""
 CALL_OF_RETRY_SHARE = 0.9
 """Share of the ratio up to which a node sends calls of runs that are retries;
 the nodes beside the backend servers have the rest, for resends."""
@@ -122,13 +127,12 @@
         """Tell whether a request may be offered for the first time.
 
         A call of a run that is a retry uses the budget of the service that is
-        called. It may use the part that is reserved for urgent requests: if
-        it is refused, the run that made it is wasted.
+        called.
         """
         if not exchange.is_call_of_retry:
             return True
-        is_allowed = self._retry_budgets.try_consume(
-            exchange.service, self._loop.time(), CALL_OF_RETRY_SHARE, True
+        is_allowed = self._retry_budgets.try_consume_call(
+            exchange.service, self._loop.time(), CALL_OF_RETRY_SHARE
         )
         self._metrics.on_retry(
             exchange.service,
@@ -180,9 +184,9 @@
             return False
         depth = max(self._depths.get(exchange.service, 0), exchange.depth)
         self._depths[exchange.service] = depth
-        share = RETRY_BUDGET_SHARES[min(depth, len(RETRY_BUDGET_SHARES) - 1)]
+        shares = RETRY_SHARES[min(depth, len(RETRY_SHARES) - 1)]
         is_allowed = self._retry_budgets.try_consume(
-            exchange.service, self._loop.time(), share, exchange.rank == 0
+            exchange.service, self._loop.time(), shares, exchange.rank == 0
         )
         self._metrics.on_retry(
             exchange.service,
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -26,8 +26,8 @@
 STALE_REUSE_S = 0.01
 """A reused connection that ends within this time without an answer had already
 been closed; an idempotent request is sent once more on a new connection."""
-RESEND_SHARE = 0.05
-"""Share of the platform's retry ratio and extra retries for these resends: the
+RESEND_SHARES = service_budgets.RetryShares(0.05, 0.05)
+"""Parts of the platform's retry ratio and extra retries for these resends: the
 backend server may have run the request before it reset the connection."""
 ANSWER_MEMORY_SHARE = 0.15
 """Share of the memory limit that incomplete answers may take."""
@@ -101,7 +101,10 @@
         self._heartbeats = heartbeats.HeartbeatRecord()
         self._queue = slot_queue.SlotQueue()
         self._resend_budgets = service_budgets.ServiceBudgets(
-            settings.retry_limits, RESEND_SHARE, self._loop.time(), count_nodes
+            settings.retry_limits,
+            RESEND_SHARES.total,
+            self._loop.time(),
+            count_nodes,
         )
         self._jobs: dict[int, job_module.Job] = {}
         self._jobs_by_request_id: dict[str, job_module.Job] = {}
@@ -424,7 +427,7 @@
         is_allowed = self._resend_budgets.try_consume(
             self._settings.service,
             self._loop.time(),
-            RESEND_SHARE,
+            RESEND_SHARES,
             job.offer.rank == 0,
         )
         self._metrics.on_retry(
