--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -1,6 +1,7 @@
 """Retry budget of a service over sliding windows.
 
-A *retry* here is a second or later arrival of one request at the service; an
+A *retry* here is a second or later arrival of one request at the service. The
+calls of a run that is a retry are made again too, and are counted apart. An
 *urgent* request has the highest rank.
 
 The budget handles backend servers that reject part of all requests for
