Release a connection while another task takes the idle ones

A call ended as unknown with IndexError at its owner, seen once in a demo and once in a fleet of two builds: release() looked at the first idle connection again after it had awaited the end of an expired one, when another task may have taken the rest.

Failed before: IndexError in test_pool.

--- a/src/clementinekeel/backends/pool.py
+++ b/src/clementinekeel/backends/pool.py
@@ -71,7 +71,8 @@
             await self.discard(used)
             return
         self._idle.append(used)
-        while self._idle[0].is_expired:
+        # Another task may take the rest while an expired one is closed.
+        while self._idle and self._idle[0].is_expired:
             await self.discard(self._idle.popleft())
 
     async def discard(self, used: connection.Connection) -> None:
