--- a/tests/sidecar/test_chain.py
+++ b/tests/sidecar/test_chain.py
@@ -36,7 +36,9 @@
             self.requests[service].append(now)
 
     def on_arrived(self, service, request_id):
-        is_repeat = request_id in self._arrived | self._calls_of_repeats
+        is_repeat = (
+            request_id in self._arrived or request_id in self._calls_of_repeats
+        )
         if is_repeat:
             now = asyncio.get_running_loop().time()
             self.repeats[service].append(now)
