--- a/src/clementinekeel/sidecar/chain.py
+++ b/src/clementinekeel/sidecar/chain.py
@@ -17,10 +17,10 @@
 from clementinekeel.sidecar import settings as settings_module
 
 RETRY_SHARES = (
-    service_budgets.RetryShares(0.5, 0.5),
-    service_budgets.RetryShares(0.5, 0.6),
-    service_budgets.RetryShares(0.5, 0.7),
-    service_budgets.RetryShares(0.8, 0.85),
+    service_budgets.RetryShares(0.2, 0.25),
+    service_budgets.RetryShares(0.25, 0.45),
+    service_budgets.RetryShares(0.3, 0.65),
+    service_budgets.RetryShares(0.8, 0.8),
 )
 """Parts of the platform's retry ratio for retries to a service, by the depth
 of the calls to it. A request that is retried makes its calls again, which uses
