--- a/src/clementinekeel/retries/window.py
+++ b/src/clementinekeel/retries/window.py
@@ -7,10 +7,10 @@
 The budget handles backend servers that reject part of all requests for
 seconds while the number of requests falls, because callers are throttled. The
 number of allowed retries follows the present window, or a part of a busier one
-before it, and a part of it is reserved for urgent requests. The
-nodes share the budget without coordination: each uses its own part, and a
-fraction of one retry is rounded up at some nodes, since 60 nodes with less
-than one retry each would otherwise use none of 91.
+before it, and a part of it is reserved for urgent requests. The nodes share
+the budget without coordination: each uses its own part, and a fraction of one
+retry is rounded up at some nodes, since 60 nodes with less than one retry each
+would otherwise use none of 91.
 """
 
 import collections
@@ -20,13 +20,10 @@
 URGENT_FACTOR = 3.0
 """Reserved part as a multiple of the urgent requests' share of all requests;
 a service without urgent requests reserves nothing."""
-
 EARLIER_WINDOW_WEIGHT = 0.5
 """Weight of the requests of an earlier window. The operators count the busiest
 of three windows over all nodes; if each node took its own busiest one, demand
 that moves from one node to another would count at both."""
-
-
 BUCKETS = 40
 """Buckets of a window; the operators' window may begin within one, so that
 one more than a window's is counted."""
@@ -143,6 +140,7 @@
         return True
 
     def _counted_requests(self, now: float) -> float:
+        """Return the number of requests that the budget follows."""
         earlier = max(
             self._requests.total(now, BUCKETS // 2),
             self._requests.total(now, BUCKETS),
