Log what a backend server states about itself in its answers

Neither log nor metrics tell that an endpoint has stated a limit, or that it leaves.

Adds the header names to the dialect, a decoder that bounds and checks the values, the event backend_reported, a gauge for the present limit and a counter of the requests sent to the backend server. No decision uses them yet.

--- a/src/clementinekeel/callers/dialect.py
+++ b/src/clementinekeel/callers/dialect.py
@@ -27,6 +27,11 @@
         Present in answers of a backend server that did not run the request.
     retry_after : bytes
         Seconds after which a refused caller may retry the request.
+    rate_limit : bytes
+        Requests a second that a backend server takes from all nodes together;
+        in its answers while it has such a limit.
+    leaving : bytes
+        States in the answers of a backend server that it is about to stop.
     calling_service : bytes
         Service of the VM from which the request is sent.
     ready_path : bytes
@@ -43,6 +48,8 @@
     instance: bytes
     not_run: bytes
     retry_after: bytes
+    rate_limit: bytes
+    leaving: bytes
     calling_service: bytes
     ready_path: bytes
     endpoint_path: bytes
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -11,6 +11,7 @@
 from clementinekeel.admission import slot_queue
 from clementinekeel.backends import http1
 from clementinekeel.backends import local
+from clementinekeel.backends import self_report
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.nodes import frames
@@ -99,6 +100,7 @@
             ),
         )
         self._heartbeats = heartbeats.HeartbeatRecord()
+        self._report = self_report.SelfReport(None, False)
         self._queue = slot_queue.SlotQueue()
         self._resend_budgets = service_budgets.ServiceBudgets(
             settings.retry_limits,
@@ -141,6 +143,11 @@
         """Newest heartbeat of the backend server, or None."""
         return self._heartbeats.latest
 
+    @property
+    def latest_report(self) -> self_report.SelfReport:
+        """What the backend server stated in its latest answer."""
+        return self._report
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is queued or running."""
@@ -357,6 +364,7 @@
     ) -> None:
         offer = job.offer
         job.connection = connection
+        self._metrics.on_arrival()
         now = job.sent_at = self._loop.time()
         remaining_ms = max(1, round((job.expires_at - now) * 1000))
         body = (
@@ -390,6 +398,8 @@
                 self._pool.release(connection)
             else:
                 connection.close()
+        if isinstance(outcome, http1.Answer):
+            self._observe(job, outcome)
         if job.has_ended:
             return
         if isinstance(outcome, http1.Failure):
@@ -399,6 +409,24 @@
         else:
             self._answer(job, outcome)
 
+    def _observe(self, job: job_module.Job, answer: http1.Answer) -> None:
+        """Note what the backend server states about itself."""
+        report = self_report.decode(
+            answer.headers, self._dialect.rate_limit, self._dialect.leaving
+        )
+        if report == self._report:
+            return
+        self._report = report
+        self._decisions.write(
+            "backend_reported",
+            False,
+            request_id=job.offer.request_id,
+            endpoint=job.offer.endpoint,
+            rate_limit_per_s=report.rate_limit_per_s,
+            is_leaving=report.is_leaving,
+            malformed_limit=(report.malformed_limit or b"").decode("latin-1"),
+        )
+
     def _on_failure(
         self,
         job: job_module.Job,
--- a/src/clementinekeel/sidecar/metrics.py
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -54,6 +54,10 @@
     Description("running", "Requests at the backend server."),
     Description("queued", "Requests that wait for a slot."),
     Description("service_ms", "Average time for which a slot is held."),
+    Description(
+        "rate_limit_per_s",
+        "Limit that the backend server states, -1 for none.",
+    ),
     Description("configuration_version", "Version in force, 0 for none."),
     Description("configuration_age_s", "Time since it came into force."),
     Description("nodes", "Known nodes, by state usable or unusable."),
@@ -84,6 +88,11 @@
             "Requests for the backend server that ended, by outcome.",
             registry=self._registry,
         )
+        self._arrivals = collectors.Counter(
+            PREFIX + "backend_arrivals_total",
+            "Requests sent to the backend server, resends included.",
+            registry=self._registry,
+        )
         self._retries = collectors.Counter(
             PREFIX + "retries_total",
             "Retries by service, cause, and whether the budget allowed them.",
@@ -135,6 +144,10 @@
         if service_ms is not None:
             self._service_ms.observe(labels, service_ms)
 
+    def on_arrival(self) -> None:
+        """Count a request that is sent to the backend server."""
+        self._arrivals.inc({})
+
     def on_retry(
         self, service: str, cause: RetryCause, is_allowed: bool
     ) -> None:
