Keep to the rate limit that a backend server states

The inbound proxy passes all requests for its backend server, so it alone keeps to the limit, without shares by node. The queue starts requests at the rate of a token bucket, the most important first, and counts resends. Waits are estimated from the slower of slots and rate, so that requests that can't be served in time are refused at once and go elsewhere; when a limit falls, the least urgent waiting ones are. Other nodes get the limit with the status, and count the slots that it leaves by Little's law. A lower limit applies at once, a higher one or none only by an answer to a request that was sent after the last statement, since answers overtake each other. Links have protocol version 3.

--- a/src/clementinekeel/admission/slot_queue.py
+++ b/src/clementinekeel/admission/slot_queue.py
@@ -5,12 +5,15 @@
 the mean. No more requests run than the backend server processes at once, since
 servers that can't queue a request may never answer it. The queue stays short
 enough that its requests can still be answered in time; all others are refused
-at once, so that the sender can try another endpoint.
+at once, so that the sender can try another endpoint. A backend server with a
+rate limit gets its requests in the same order, at that rate.
 """
 
 import heapq
 from typing import NamedTuple
 
+from clementinekeel.admission import rate_limiter
+
 SERVICE_START_MS = 100.0
 """Service time assumed before the first measurement, in milliseconds."""
 SERVICE_GAIN = 0.05
@@ -81,6 +84,7 @@
 
     def __init__(self, slots: int = 0) -> None:
         self._slots = slots
+        self._rate = rate_limiter.RateLimiter()
         self._running: set[int] = set()
         self._heap: list[tuple[int, float, int, SlotRequest]] = []
         self._waiting: dict[int, SlotRequest] = {}
@@ -119,11 +123,36 @@
         self._slots = slots
         return self._fill_slots(now)
 
+    def limit_rate(self, limit_per_s: float | None, now: float) -> Changes:
+        """Set the rate at which requests may start; None for no limit."""
+        self._rate.set_limit(limit_per_s, now)
+        refused = self._shed().refused
+        changes = self._fill_slots(now)
+        return Changes(changes.admitted, refused + changes.refused)
+
+    def next_start_at(self, now: float) -> float | None:
+        """Return when a waiting request may start because of the rate.
+
+        None if nothing waits, or if the next start needs a slot first.
+        """
+        if not self._waiting or len(self._running) >= self._slots:
+            return None
+        return self._rate.next_permit_at(now)
+
+    def start_waiting(self, now: float) -> Changes:
+        """Start the waiting requests for which the rate now has permits."""
+        return self._fill_slots(now)
+
+    def on_resend(self, now: float) -> None:
+        """Count a further arrival of a running request towards the rate."""
+        self._rate.consume(now)
+
     def offer(self, request: SlotRequest, now: float) -> Changes:
         """Decide about a new request."""
         if request.expires_at <= now:
             return Changes([], [Refusal(request.number, "deadline")])
-        if len(self._running) < self._slots and not self._waiting:
+        has_free_slot = len(self._running) < self._slots and not self._waiting
+        if has_free_slot and self._rate.try_consume(now):
             self._running.add(request.number)
             return Changes([request.number], [])
         estimated_ms = self._wait_ms(request)
@@ -132,7 +161,7 @@
         self._wait_estimates[request.number] = now, estimated_ms
         heapq.heappush(self._heap, (*_sort_key(request), request))
         self._waiting[request.number] = request
-        return self._shed(now)
+        return self._shed()
 
     def finish(
         self, number: int, now: float, service_ms: float | None
@@ -176,7 +205,8 @@
         return Changes([], late)
 
     def _release_interval_ms(self) -> float:
-        return self._service_ms / max(1, self._slots)
+        slot_interval_ms = self._service_ms / max(1, self._slots)
+        return max(slot_interval_ms, self._rate.interval_ms)
 
     def _wait_ms(self, request: SlotRequest) -> float:
         sort_key = _sort_key(request)
@@ -202,7 +232,7 @@
         remaining_ms = (request.expires_at - now) * 1000
         return min(WAIT_MAX_MS, remaining_ms * WAIT_SHARE)
 
-    def _shed(self, now: float) -> Changes:
+    def _shed(self) -> Changes:
         # Behind an urgent request, less urgent ones may now wait too long.
         limit = WAIT_MAX_MS / self._release_interval_ms() + 1
         refused: list[Refusal] = []
@@ -217,12 +247,18 @@
         admitted: list[int] = []
         refused: list[Refusal] = []
         while self._heap and len(self._running) < self._slots:
-            request = heapq.heappop(self._heap)[-1]
-            if self._waiting.pop(request.number, None) is None:
+            request = self._heap[0][-1]
+            if request.number not in self._waiting:
+                heapq.heappop(self._heap)
                 continue
-            self._update_wait_ratio(request.number, now)
             remaining_ms = (request.expires_at - now) * 1000
-            if remaining_ms < self._service_ms * 0.5:
+            is_late = remaining_ms < self._service_ms * 0.5
+            if not is_late and not self._rate.try_consume(now):
+                break
+            heapq.heappop(self._heap)
+            del self._waiting[request.number]
+            self._update_wait_ratio(request.number, now)
+            if is_late:
                 refused.append(Refusal(request.number, "deadline"))
                 continue
             self._running.add(request.number)
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -13,7 +13,7 @@
 
 from clementinekeel.runtime import errors
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 HEADER_BYTES = 5
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Larger frames are a fault of the sender; a configuration has 1 MiB."""
@@ -64,6 +64,9 @@
         Requests that wait for a slot.
     warm_up_left_ms : int
         Remaining warm-up time after its start, during which it is slower.
+    rate_limit_per_s : float or None
+        Requests a second that it takes from all nodes together, by its own
+        statement; None for no limit.
     """
 
     endpoint: str
@@ -73,6 +76,7 @@
     running: int
     queued: int
     warm_up_left_ms: int
+    rate_limit_per_s: float | None
 
 
 class Offer(NamedTuple):
--- a/src/clementinekeel/retries/attempt_timeout.py
+++ b/src/clementinekeel/retries/attempt_timeout.py
@@ -50,6 +50,6 @@
     return min(usual_ms, latest_ms)
 
 
-def has_spare_slots(load: int, slots: int) -> bool:
+def has_spare_slots(load: int, slots: float) -> bool:
     """Tell whether an endpoint has spare slots for a retry."""
     return load < MAX_LOAD_SHARE * slots
--- a/src/clementinekeel/routing/placement.py
+++ b/src/clementinekeel/routing/placement.py
@@ -47,6 +47,8 @@
 WARM_UP_SLOWDOWN = 2.0
 """Factor on the service time of an endpoint that has just started: it works at
 about half its speed."""
+MIN_SLOTS = 0.01
+"""Least number of slots that is assumed of an endpoint that takes requests."""
 SUSPECT_PENALTY_MS = 400.0
 """Cost of an endpoint that failed or timed out recently; it still gets
 requests when the cost of all others is higher by more than this."""
@@ -59,6 +61,9 @@
     ----------
     name : str
         Identifies the endpoint to the caller; has no effect on the choice.
+    slots : float
+        Requests that it processes concurrently; fewer than its slots, or less
+        than one, if its rate limit allows no more.
     load : int
         Requests that run or wait at the endpoint.
     service_ms : float
@@ -73,7 +78,7 @@
 
     name: str
     tier: Tier
-    slots: int
+    slots: float
     load: int
     service_ms: float
     transit_ms: float
@@ -99,7 +104,7 @@
         Sum of the wait, the cost of the distance, the excess of the service
         time over the usual one and the penalty for failures, in milliseconds.
     """
-    slots = max(1, candidate.slots)
+    slots = max(MIN_SLOTS, candidate.slots)
     service_ms = candidate.service_ms
     if candidate.is_warming_up:
         service_ms *= WARM_UP_SLOWDOWN
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -187,7 +187,7 @@
             return
         other = self._choose(exchange, route)
         if other is None or not attempt_timeout.has_spare_slots(
-            other.estimated_load, other.slots
+            other.estimated_load, other.usable_slots
         ):
             return
         if not self._chain.try_consume_retry(
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from clementinekeel.admission import slot_queue
+from clementinekeel.admission import stated_limit
 from clementinekeel.backends import http1
 from clementinekeel.backends import local
 from clementinekeel.backends import self_report
@@ -102,6 +103,10 @@
         self._heartbeats = heartbeats.HeartbeatRecord()
         self._report = self_report.SelfReport(None, False)
         self._queue = slot_queue.SlotQueue()
+        self._limit = stated_limit.StatedLimit(self._loop.time())
+        self._applied_limit_per_s: float | None = None
+        self._published_limit_per_s: float | None = None
+        self._start_timer: asyncio.TimerHandle | None = None
         self._resend_budgets = service_budgets.ServiceBudgets(
             settings.retry_limits,
             RESEND_SHARES.total,
@@ -123,7 +128,7 @@
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
             return frames.EndpointStatus(
-                "", self._settings.service, False, 0, 0, 0, 0
+                "", self._settings.service, False, 0, 0, 0, 0, None
             )
         warm_up_left_ms = max(
             0, round((self._warm_up_until - self._loop.time()) * 1000)
@@ -136,6 +141,7 @@
             self._queue.running,
             self._queue.queued,
             warm_up_left_ms,
+            self._published_limit_per_s,
         )
 
     @property
@@ -144,9 +150,9 @@
         return self._heartbeats.latest
 
     @property
-    def latest_report(self) -> self_report.SelfReport:
-        """What the backend server stated in its latest answer."""
-        return self._report
+    def rate_limit_per_s(self) -> float | None:
+        """Limit that the backend server states, in requests a second."""
+        return self._limit.limit_per_s
 
     @property
     def is_idle(self) -> bool:
@@ -190,6 +196,8 @@
         if previous is None or not heartbeat.is_same_incarnation(previous):
             self._pool.close_idle()
             self._apply(self._queue.refuse_all("replaced"))
+            self._limit = stated_limit.StatedLimit(now)
+            self._apply_limit(now)
         self._apply(self._queue.resize(_usable_slots(heartbeat.slots), now))
         if not self._accepts(heartbeat):
             self._apply(self._queue.refuse_all("leaving"))
@@ -256,6 +264,7 @@
         """Refuse requests that can't be answered in time; prune the pool."""
         self._apply(self._queue.expire(self._loop.time()))
         self._pool.close_expired()
+        self._publish_limit()
 
     def _accepts(self, heartbeat: heartbeats.Heartbeat) -> bool:
         if self._is_stopping or heartbeat.state is not (
@@ -270,7 +279,7 @@
             after.endpoint,
             after.is_accepting,
             after.slots,
-        ):
+        ) or before.rate_limit_per_s != after.rate_limit_per_s:
             self._decisions.write(
                 "endpoint_changed",
                 False,
@@ -278,6 +287,7 @@
                 service=after.service,
                 accepts=after.is_accepting,
                 slots=after.slots,
+                rate_limit_per_s=after.rate_limit_per_s,
             )
             self._on_status_change()
 
@@ -309,6 +319,21 @@
             job = self._jobs.get(number)
             if job is not None:
                 self._start(job)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Start a waiting request when the rate limit allows the next one."""
+        if self._start_timer is not None:
+            return
+        start_at = self._queue.next_start_at(self._loop.time())
+        if start_at is not None:
+            self._start_timer = self._loop.call_at(
+                start_at, self._start_waiting
+            )
+
+    def _start_waiting(self) -> None:
+        self._start_timer = None
+        self._apply(self._queue.start_waiting(self._loop.time()))
 
     def _start(self, job: job_module.Job) -> None:
         job.started_at = self._loop.time()
@@ -410,10 +435,43 @@
             self._answer(job, outcome)
 
     def _observe(self, job: job_module.Job, answer: http1.Answer) -> None:
-        """Note what the backend server states about itself."""
+        """Apply what the backend server states about itself."""
+        heartbeat = self._heartbeats.latest
+        if heartbeat is None or heartbeat.endpoint != job.offer.endpoint:
+            return
         report = self_report.decode(
             answer.headers, self._dialect.rate_limit, self._dialect.leaving
         )
+        if report.malformed_limit is None:
+            now = self._loop.time()
+            self._limit.on_answer(report.rate_limit_per_s, job.sent_at, now)
+            self._apply_limit(now)
+        self._log_report(job, report)
+
+    def _apply_limit(self, now: float) -> None:
+        """Let the queue keep to the limit in force."""
+        limit_per_s = self._limit.limit_per_s
+        if limit_per_s == self._applied_limit_per_s:
+            return
+        self._applied_limit_per_s = limit_per_s
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+        self._apply(self._queue.limit_rate(limit_per_s, now))
+
+    def _publish_limit(self) -> None:
+        """Tell other nodes of a changed limit.
+
+        Called at a fixed interval, since the limit may change with each
+        answer.
+        """
+        before = self.status
+        self._published_limit_per_s = self._limit.limit_per_s
+        self._report_status_change(before)
+
+    def _log_report(
+        self, job: job_module.Job, report: self_report.SelfReport
+    ) -> None:
         if report == self._report:
             return
         self._report = report
@@ -443,6 +501,7 @@
             self._pool.close_idle()
             if self._try_consume_resend(job):
                 job.is_resent = True
+                self._queue.on_resend(self._loop.time())
                 self._connect(job)
                 return
         self._count_quick_failure(age_s, failure.has_partial_answer)
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -258,7 +258,7 @@
         yield sample("running", queue.running)
         yield sample("queued", queue.queued)
         yield sample("service_ms", queue.service_ms)
-        limit = self._inbound_proxy.latest_report.rate_limit_per_s
+        limit = self._inbound_proxy.rate_limit_per_s
         yield sample("rate_limit_per_s", -1.0 if limit is None else limit)
         yield sample("configuration_version", self._outbound_proxy.version)
         yield sample("configuration_age_s", self._configuration.age_s)
--- a/src/clementinekeel/sidecar/peer.py
+++ b/src/clementinekeel/sidecar/peer.py
@@ -116,6 +116,19 @@
         """Slots of the backend server."""
         return self.status.slots if self.status is not None else 0
 
+    @property
+    def usable_slots(self) -> float:
+        """Slots that can be in use at once under the rate limit.
+
+        By Little's law: the rate times the time for which a slot is held.
+        """
+        limit = (
+            self.status.rate_limit_per_s if self.status is not None else None
+        )
+        if limit is None:
+            return self.slots
+        return min(self.slots, limit * self.service_ms / 1000)
+
     @property
     def estimated_load(self) -> int:
         """Requests that run or wait there, at least those of this node."""
@@ -154,7 +167,7 @@
         return placement.Candidate(
             self.node,
             self.tier,
-            self.slots,
+            self.usable_slots,
             self.estimated_load,
             self.service_ms,
             self.transit_ms,
--- a/tests/admission/test_slot_queue.py
+++ b/tests/admission/test_slot_queue.py
@@ -203,3 +203,45 @@
             apply(queue.expire(now))
         assert queue.running == len(running) <= 3
         assert queue.queued == len(queued)
+
+
+def test_waiting_requests_start_at_the_rate_of_the_limit():
+    """A backend server has free slots, but takes fewer requests a second."""
+    queue = slot_queue.SlotQueue(10)
+    queue.limit_rate(10, NOW)
+    for number in range(1, 4):
+        queue.offer(make_request(number, remaining_s=5), NOW)
+    started = []
+    for step in range(1, 101):
+        changes = queue.start_waiting(NOW + step / 100)
+        started += [(number, step) for number in changes.admitted]
+    assert started == [(1, 10), (2, 20), (3, 30)]
+
+
+def test_wait_for_the_rate_decides_who_is_refused():
+    """Otherwise requests wait in vain although another endpoint has room."""
+    queue = slot_queue.SlotQueue(10)
+    queue.limit_rate(2, NOW)
+    refused = queue.offer(make_request(1), NOW).refused
+    assert [r.reason for r in refused] == ["overload"]
+    assert queue.retry_after_ms == 500
+
+
+def test_least_urgent_requests_are_refused_when_the_limit_falls():
+    queue = slot_queue.SlotQueue(10)
+    queue.limit_rate(100, NOW)
+    for number in range(1, 21):
+        queue.offer(make_request(number, rank=number % 2, remaining_s=5), NOW)
+    refused = {r.number for r in queue.limit_rate(5, NOW).refused}
+    assert set(range(1, 21)) - refused == {2, 4, 6}
+
+
+def test_queue_tells_when_the_next_request_may_start():
+    queue = slot_queue.SlotQueue(1)
+    queue.limit_rate(10, NOW)
+    assert queue.next_start_at(NOW) is None
+    queue.offer(make_request(1, remaining_s=5), NOW)
+    assert queue.next_start_at(NOW) == pytest.approx(NOW + 0.1)
+    queue.start_waiting(NOW + 0.1)
+    queue.offer(make_request(2, remaining_s=5), NOW + 0.1)
+    assert queue.next_start_at(NOW + 0.1) is None
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -107,3 +107,12 @@
     expected = simulate(placement.choose_by_expected_time)
     nearest = simulate(placement.choose_nearest)
     assert expected < 0.5 * nearest
+
+
+def test_endpoint_with_less_than_a_slot_is_avoided_before_it_fills_up():
+    """A rate limit of two requests a second leaves an idle endpoint less than
+    one slot; all nodes would send to it at once.
+    """
+    near = candidate("near", slots=0.2, load=0)
+    far = candidate("far", tier=placement.Tier.REGION, load=20)
+    assert choose(near, far) == "far"
