Return the limit of a backend server to its restarted node

A node that restarts beside a limited backend server knows no limit until the first answer and fills all slots; in the test 92 requests of another node, whose callers had been told, arrive in 4 s (35 allowed).

The other nodes know the limit: they remember it when the link to the node is lost, and return it once the node is back and has had no answer of the same incarnation yet, before they offer requests again. The status of a lost link no longer counts, so that no offer precedes the statement. The statement ends like any other, with the first later answer without it. Other nodes now also learn of a new limit before the answer that states it.

A first allowance of a few requests after each start was weighed: it needs no message, but delays all requests of a restarted node by a service time although few backend servers have a limit.

--- a/src/clementinekeel/admission/stated_limit.py
+++ b/src/clementinekeel/admission/stated_limit.py
@@ -21,6 +21,12 @@
         self._started_at = started_at
         self._stated_at = started_at
         self._limit_per_s: float | None = None
+        self._has_answered = False
+
+    @property
+    def has_answered(self) -> bool:
+        """Whether an answer of the incarnation has arrived."""
+        return self._has_answered
 
     @property
     def limit_per_s(self) -> float | None:
@@ -43,6 +49,17 @@
         """
         if sent_at < self._started_at:
             return
+        self._has_answered = True
+        self._apply(stated_per_s, sent_at, now)
+
+    def on_earlier_statement(self, stated_per_s: float, now: float) -> None:
+        """Apply a limit that another node knows, until the first answer."""
+        if not self._has_answered:
+            self._apply(stated_per_s, self._started_at, now)
+
+    def _apply(
+        self, stated_per_s: float | None, sent_at: float, now: float
+    ) -> None:
         present_per_s = self._limit_per_s
         if stated_per_s is None:
             is_lower = present_per_s is None
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -67,6 +67,11 @@
     rate_limit_per_s : float or None
         Requests a second that it takes from all nodes together, by its own
         statement; None for no limit.
+    started_ms : int
+        Start of the backend server, in Unix milliseconds.
+    has_answered : bool
+        Whether the sender has had an answer of the backend server; until
+        then, it doesn't know what the backend server states.
     """
 
     endpoint: str
@@ -77,6 +82,24 @@
     queued: int
     warm_up_left_ms: int
     rate_limit_per_s: float | None
+    started_ms: int
+    has_answered: bool
+
+
+class EarlierStatement(NamedTuple):
+    """What the receiver's backend server stated before the receiver started.
+
+    Attributes
+    ----------
+    endpoint, started_ms : str, int
+        Incarnation of the backend server, as in ``EndpointStatus``.
+    rate_limit_per_s : float or None
+        As in ``EndpointStatus``.
+    """
+
+    endpoint: str
+    started_ms: int
+    rate_limit_per_s: float | None
 
 
 class Offer(NamedTuple):
@@ -242,6 +265,7 @@
 Frame = (
     Hello
     | EndpointStatus
+    | EarlierStatement
     | Offer
     | OfferPart
     | Answer
@@ -269,6 +293,7 @@
     Pong,
     Configuration,
     ConfigurationRequest,
+    EarlierStatement,
 )
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -128,7 +128,7 @@
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
             return frames.EndpointStatus(
-                "", self._settings.service, False, 0, 0, 0, 0, None
+                "", self._settings.service, False, 0, 0, 0, 0, None, 0, False
             )
         warm_up_left_ms = max(
             0, round((self._warm_up_until - self._loop.time()) * 1000)
@@ -142,6 +142,8 @@
             self._queue.queued,
             warm_up_left_ms,
             self._published_limit_per_s,
+            heartbeat.incarnation_ms,
+            self._limit.has_answered,
         )
 
     @property
@@ -210,6 +212,29 @@
             self._apply(self._queue.refuse_all("leaving"))
             self._report_status_change(before)
 
+    def on_earlier_statement(
+        self, statement: frames.EarlierStatement, node: str
+    ) -> None:
+        """Keep to what the backend server stated before this node started."""
+        heartbeat = self._heartbeats.latest
+        limit_per_s = statement.rate_limit_per_s
+        if heartbeat is None or limit_per_s is None:
+            return
+        stated_by = statement.endpoint, statement.started_ms
+        if stated_by != (heartbeat.endpoint, heartbeat.incarnation_ms):
+            return
+        now = self._loop.time()
+        self._limit.on_earlier_statement(limit_per_s, now)
+        self._apply_limit(now)
+        self._decisions.write(
+            "statement_returned",
+            False,
+            endpoint=statement.endpoint,
+            peer=node,
+            stated_per_s=limit_per_s,
+            rate_limit_per_s=self._limit.limit_per_s,
+        )
+
     def stop(self) -> None:
         """Accept no new requests and refuse those that wait for a slot."""
         before = self.status
@@ -458,12 +483,15 @@
             self._start_timer.cancel()
             self._start_timer = None
         self._apply(self._queue.limit_rate(limit_per_s, now))
+        if self._published_limit_per_s is None and limit_per_s is not None:
+            # Other nodes know the limit before the answer that states it.
+            self._publish_limit()
 
     def _publish_limit(self) -> None:
         """Tell other nodes of a changed limit.
 
-        Called at a fixed interval, since the limit may change with each
-        answer.
+        Called when a limit begins, and at a fixed interval, since it may
+        change with each answer.
         """
         before = self.status
         self._published_limit_per_s = self._limit.limit_per_s
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from clementinekeel.membership import statements
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
 from clementinekeel.routing import placement
@@ -51,6 +52,7 @@
         self._peers: dict[str, peer_module.Peer] = {}
         self._by_service: dict[str, list[peer_module.Peer]] = {}
         self._inbound_links: set[link_module.Link] = set()
+        self._statements = statements.StatementMemory()
         self._tasks: set[asyncio.Task[None]] = set()
         self._random = random.Random()
         self._inbound_proxy: inbound.InboundProxy | None = None
@@ -313,6 +315,7 @@
         )
         if peer.unreachable_since is None:
             peer.unreachable_since = now
+        self._record_statement(peer, now)
         self._decisions.write("link_lost", False, peer=peer.node)
         lost, peer.exchanges = peer.exchanges, {}
         peer.reported_load = 0
@@ -371,6 +374,9 @@
             inbound_proxy.cancel(link, frame.stream)
         elif isinstance(frame, frames.OfferPart):
             inbound_proxy.offer_part(link, frame)
+        elif isinstance(frame, frames.EarlierStatement):
+            node = link.peer.node if link.peer is not None else ""
+            inbound_proxy.on_earlier_statement(frame, node)
         elif isinstance(frame, frames.Hello):
             self._on_hello(link, frame)
             link.send(self._own_hello())
@@ -409,10 +415,44 @@
             return int(placement.Tier.REMOTE)
         return int(self._tier(hello.zone, hello.region))
 
+    def _record_statement(self, peer: peer_module.Peer, now: float) -> None:
+        """Remember what a backend server stated until its node is back.
+
+        Without its status, the node gets no offers before the statement.
+        """
+        status = peer.status
+        if status is None:
+            return
+        self._statements.record(
+            statements.Incarnation(status.endpoint, status.started_ms),
+            statements.Statement(status.rate_limit_per_s),
+            now,
+        )
+        peer.status = status._replace(is_accepting=False)
+
+    def _with_earlier_statement(
+        self, peer: peer_module.Peer, status: frames.EndpointStatus
+    ) -> frames.EndpointStatus:
+        """Add what the backend server stated before its node restarted.
+
+        The node gets the statement before any further offer.
+        """
+        if status.has_answered or peer.link is None:
+            return status
+        incarnation = statements.Incarnation(
+            status.endpoint, status.started_ms
+        )
+        known = self._statements.recall(incarnation, self._loop.time())
+        if known is None or status.rate_limit_per_s is not None:
+            return status
+        peer.link.send(frames.EarlierStatement(*incarnation, *known))
+        return status._replace(rate_limit_per_s=known.rate_limit_per_s)
+
     def _set_status(
         self, peer: peer_module.Peer, status: frames.EndpointStatus
     ) -> None:
         before = peer.status
+        status = self._with_earlier_statement(peer, status)
         peer.status = status
         peer.reported_load = status.running + status.queued
         now = self._loop.time()
