Stop sending to a backend server that states its leaving

A backend server that leaves says so in each answer. Nodes went by its heartbeats and departures only: until the next heartbeat arrived it got new requests, a heartbeat that was delayed until after the statement undid it, and a node that had restarted knew nothing of it.

The statement now counts as a draining heartbeat of the incarnation: waiting requests are refused as not run and offered elsewhere, other nodes get the status before the answer, and later heartbeats of the incarnation don't undo it. Other nodes remember it over a restart of the node, like a limit, and a health check whose answer states it doesn't verify a backend server.

--- a/src/clementinekeel/membership/heartbeats.py
+++ b/src/clementinekeel/membership/heartbeats.py
@@ -66,6 +66,7 @@
 
     def __init__(self) -> None:
         self._latest: Heartbeat | None = None
+        self._has_stated_leaving = False
         self._removed_incarnations_ms: dict[str, int] = {}
         self._refused_until: dict[str, float] = {}
 
@@ -90,9 +91,23 @@
         current = self._latest
         if current is not None and not _is_newer(heartbeat, current):
             return False
+        if current is None or not heartbeat.is_same_incarnation(current):
+            self._has_stated_leaving = False
+        if self._has_stated_leaving:
+            heartbeat = heartbeat._replace(state=EndpointState.DRAINING)
         self._latest = heartbeat
         return True
 
+    def on_stated_leaving(self) -> None:
+        """Record that the backend server has stated that it leaves.
+
+        Later heartbeats of the same incarnation don't undo it: they may have
+        been sent before the statement.
+        """
+        if self._latest is not None:
+            self._has_stated_leaving = True
+            self._latest = self._latest._replace(state=EndpointState.DRAINING)
+
     def remove(self, endpoint: str, now: float) -> bool:
         """Remove a backend server that leaves; return whether it was known.
 
--- a/src/clementinekeel/membership/statements.py
+++ b/src/clementinekeel/membership/statements.py
@@ -32,12 +32,15 @@
     ----------
     rate_limit_per_s : float or None
         Requests a second that it takes from all nodes together.
+    is_leaving : bool
+        Whether it is about to stop.
     """
 
     rate_limit_per_s: float | None
+    is_leaving: bool
 
 
-_NONE = Statement(None)
+_NONE = Statement(None, False)
 
 
 class StatementMemory:
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -72,6 +72,8 @@
     has_answered : bool
         Whether the sender has had an answer of the backend server; until
         then, it doesn't know what the backend server states.
+    is_leaving : bool
+        Whether the backend server is about to stop.
     """
 
     endpoint: str
@@ -84,6 +86,7 @@
     rate_limit_per_s: float | None
     started_ms: int
     has_answered: bool
+    is_leaving: bool
 
 
 class EarlierStatement(NamedTuple):
@@ -93,13 +96,14 @@
     ----------
     endpoint, started_ms : str, int
         Incarnation of the backend server, as in ``EndpointStatus``.
-    rate_limit_per_s : float or None
+    rate_limit_per_s, is_leaving : float or None, bool
         As in ``EndpointStatus``.
     """
 
     endpoint: str
     started_ms: int
     rate_limit_per_s: float | None
+    is_leaving: bool
 
 
 class Offer(NamedTuple):
--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -15,6 +15,8 @@
 import asyncio
 from typing import NamedTuple
 
+from clementinekeel.backends import self_report
+from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import inbound
@@ -42,8 +44,8 @@
 
     Parameters
     ----------
-    instance_header : bytes
-        Header by which the answer to a health check names its sender.
+    dialect : Dialect
+        Names of the headers in the answer to a health check.
     service : str
         Service of the VM's backend server, as the settings say at the start.
     """
@@ -51,13 +53,13 @@
     def __init__(
         self,
         inbound_proxy: inbound.InboundProxy,
-        instance_header: bytes,
+        dialect: dialect_module.Dialect,
         service: str,
         decisions: decision_log.DecisionLog,
     ) -> None:
         self._inbound_proxy = inbound_proxy
         self._service = service
-        self._instance_header = instance_header
+        self._dialect = dialect
         self._decisions = decisions
         self._candidate: heartbeats.Heartbeat | None = None
         self._health_check: asyncio.Task[None] | None = None
@@ -153,10 +155,15 @@
 
     async def _check_health(self, health_path: str) -> _Health:
         answer = await self._inbound_proxy.check_health(health_path)
-        named = dict(answer.headers) if answer is not None else {}
+        headers = answer.headers if answer is not None else []
+        report = self_report.decode(
+            headers, self._dialect.rate_limit, self._dialect.leaving
+        )
         health = _Health(
-            named.get(self._instance_header, b"").decode("latin-1"),
-            answer is not None and answer.status == 200,
+            dict(headers).get(self._dialect.instance, b"").decode("latin-1"),
+            answer is not None
+            and answer.status == 200
+            and not report.is_leaving,
         )
         self._decisions.write(
             "backend_probed",
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -128,7 +128,17 @@
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
             return frames.EndpointStatus(
-                "", self._settings.service, False, 0, 0, 0, 0, None, 0, False
+                "",
+                self._settings.service,
+                False,
+                0,
+                0,
+                0,
+                0,
+                None,
+                0,
+                False,
+                False,
             )
         warm_up_left_ms = max(
             0, round((self._warm_up_until - self._loop.time()) * 1000)
@@ -144,6 +154,7 @@
             self._published_limit_per_s,
             heartbeat.incarnation_ms,
             self._limit.has_answered,
+            heartbeat.state is heartbeats.EndpointState.DRAINING,
         )
 
     @property
@@ -201,8 +212,7 @@
             self._limit = stated_limit.StatedLimit(now)
             self._apply_limit(now)
         self._apply(self._queue.resize(_usable_slots(heartbeat.slots), now))
-        if not self._accepts(heartbeat):
-            self._apply(self._queue.refuse_all("leaving"))
+        self._refuse_waiting_if_leaving()
         self._report_status_change(before)
 
     def on_leave(self, endpoint: str) -> None:
@@ -217,15 +227,18 @@
     ) -> None:
         """Keep to what the backend server stated before this node started."""
         heartbeat = self._heartbeats.latest
-        limit_per_s = statement.rate_limit_per_s
-        if heartbeat is None or limit_per_s is None:
+        if heartbeat is None:
             return
         stated_by = statement.endpoint, statement.started_ms
         if stated_by != (heartbeat.endpoint, heartbeat.incarnation_ms):
             return
-        now = self._loop.time()
-        self._limit.on_earlier_statement(limit_per_s, now)
-        self._apply_limit(now)
+        limit_per_s = statement.rate_limit_per_s
+        if limit_per_s is not None:
+            now = self._loop.time()
+            self._limit.on_earlier_statement(limit_per_s, now)
+            self._apply_limit(now)
+        if statement.is_leaving:
+            self._stop_for_leaving()
         self._decisions.write(
             "statement_returned",
             False,
@@ -233,6 +246,7 @@
             peer=node,
             stated_per_s=limit_per_s,
             rate_limit_per_s=self._limit.limit_per_s,
+            is_leaving=statement.is_leaving,
         )
 
     def stop(self) -> None:
@@ -304,7 +318,10 @@
             after.endpoint,
             after.is_accepting,
             after.slots,
-        ) or before.rate_limit_per_s != after.rate_limit_per_s:
+        ) or (before.rate_limit_per_s, before.is_leaving) != (
+            after.rate_limit_per_s,
+            after.is_leaving,
+        ):
             self._decisions.write(
                 "endpoint_changed",
                 False,
@@ -471,8 +488,22 @@
             now = self._loop.time()
             self._limit.on_answer(report.rate_limit_per_s, job.sent_at, now)
             self._apply_limit(now)
+        if report.is_leaving:
+            self._stop_for_leaving()
         self._log_report(job, report)
 
+    def _stop_for_leaving(self) -> None:
+        """Send no new requests to a backend server that states its leaving."""
+        before = self.status
+        self._heartbeats.on_stated_leaving()
+        self._refuse_waiting_if_leaving()
+        self._report_status_change(before)
+
+    def _refuse_waiting_if_leaving(self) -> None:
+        heartbeat = self._heartbeats.latest
+        if heartbeat is not None and not self._accepts(heartbeat):
+            self._apply(self._queue.refuse_all("leaving"))
+
     def _apply_limit(self, now: float) -> None:
         """Let the queue keep to the limit in force."""
         limit_per_s = self._limit.limit_per_s
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -126,7 +126,7 @@
         self._backend_address = f"{backend.host}:{backend.port}"
         self._backend_verifier = backend_verification.BackendVerifier(
             self._inbound_proxy,
-            adapter.dialect.instance,
+            adapter.dialect,
             settings.service,
             self._decisions,
         )
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -425,7 +425,7 @@
             return
         self._statements.record(
             statements.Incarnation(status.endpoint, status.started_ms),
-            statements.Statement(status.rate_limit_per_s),
+            statements.Statement(status.rate_limit_per_s, status.is_leaving),
             now,
         )
         peer.status = status._replace(is_accepting=False)
@@ -443,10 +443,16 @@
             status.endpoint, status.started_ms
         )
         known = self._statements.recall(incarnation, self._loop.time())
-        if known is None or status.rate_limit_per_s is not None:
+        stated = statements.Statement(
+            status.rate_limit_per_s, status.is_leaving
+        )
+        if known is None or known == stated:
             return status
         peer.link.send(frames.EarlierStatement(*incarnation, *known))
-        return status._replace(rate_limit_per_s=known.rate_limit_per_s)
+        return status._replace(
+            is_accepting=status.is_accepting and not known.is_leaving,
+            **known._asdict(),
+        )
 
     def _set_status(
         self, peer: peer_module.Peer, status: frames.EndpointStatus
--- a/tests/membership/test_statements.py
+++ b/tests/membership/test_statements.py
@@ -4,8 +4,8 @@
 
 NOW = 100.0
 FIRST = statements.Incarnation("e-1", 1)
-LIMITED = statements.Statement(5.0)
-UNLIMITED = statements.Statement(None)
+LIMITED = statements.Statement(5.0, False)
+UNLIMITED = statements.Statement(None, False)
 
 
 def test_statement_is_recalled_for_its_incarnation_only():
