Let the soak's backend servers state limits and their leaving

The soak had no backend server that states a rate limit or its leaving, so it could not have found that nobody reads these statements.

Adds the fault backend_limit, leaving that is stated in answers before the node hears of it, the check of both against the operators' bounds for nodes that have passed such an answer on, and a sabotage that ignores limits.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -121,6 +121,8 @@
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
         self._state = "ready"
+        self._states_leaving = False
+        self._rate_limit_per_s: float | None = None
         self._running = 0
         self._server: asyncio.Server | None = None
         self._connections: set[_http.ServerConnection] = set()
@@ -146,12 +148,23 @@
         for connection in list(self._connections):
             connection.abort()
 
-    async def leave(self, is_announced: bool) -> None:
+    def limit_rate(self, limit_per_s: float | None) -> None:
+        """State a limit in all answers from now on; None to cease."""
+        self._rate_limit_per_s = limit_per_s
+        self._checker.statements.state_limit(
+            self.name, limit_per_s, self._loop.time()
+        )
+
+    async def leave(self, is_announced: bool, silent_s: float) -> None:
         """Leave as planned: drain, continue to serve for a while, and stop.
 
-        Unless ``is_announced``, it deregisters without a draining heartbeat
-        before.
+        All answers state the leaving. Unless ``is_announced``, it deregisters
+        without a draining heartbeat before. For ``silent_s`` it tells its node
+        nothing besides.
         """
+        self._states_leaving = True
+        self._checker.statements.state_leaving(self.name)
+        await asyncio.sleep(silent_s)
         self._state = "draining"
         if is_announced:
             await self._announce_leaving("PUT", self._heartbeat())
@@ -241,14 +254,14 @@
     def _on_request(
         self, connection: _http.ServerConnection, request: _http.Request
     ) -> None:
-        instance_header = {"Instance-Id": self.name}
+        instance_header = {"Instance-Id": self.name, **self._statements()}
         if request.path == HEALTH_PATH:
             status = 200 if self._state == "ready" else 503
             connection.respond(status, instance_header, b"")
             return
         request_id = request.headers.get("request-id", "")
         self._checker.on_arrival(
-            self._loop.time(), request_id, self.spec.service
+            self._loop.time(), request_id, self.spec.service, self.name
         )
         target = request.headers.get("target-instance")
         if target is not None and target != self.name:
@@ -256,7 +269,9 @@
                 421, {**instance_header, "Not-Executed": "1"}, b""
             )
         elif self._random.random() < self.faults.refused_share:
-            connection.respond(503, {"Not-Executed": "1"}, b"")
+            connection.respond(
+                503, {**instance_header, "Not-Executed": "1"}, b""
+            )
         elif self._running < self.spec.slots:
             # Without a free slot, the request is never answered.
             self._track(
@@ -265,6 +280,14 @@
                 )
             )
 
+    def _statements(self) -> dict[str, str]:
+        headers = {}
+        if self._rate_limit_per_s is not None:
+            headers["Server-Limit"] = f"{self._rate_limit_per_s:.1f}"
+        if self._states_leaving:
+            headers["Server-Leaving"] = "1"
+        return headers
+
     async def _run(
         self,
         connection: _http.ServerConnection,
@@ -358,7 +381,11 @@
         is_long = self._random.random() < LONG_BODY_SHARE
         size = LONG_BODY_BYTES if is_long else BODY_BYTES
         body = (seal * (size // len(seal))).encode()
-        headers = {"Request-Id": request_id, "Response-Seal": seal}
+        headers = {
+            "Request-Id": request_id,
+            "Response-Seal": seal,
+            **self._statements(),
+        }
         sample = self._random.random()
         faults = self.faults
         if sample < faults.lost_share:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -11,6 +11,8 @@
 import enum
 from typing import NamedTuple
 
+from soak import statements as statements_module
+
 # Bounds of the operators' rules for the standard deployments.
 SETTLING_S = 4.0
 """Time after a fault during which the node still counts as disrupted."""
@@ -41,6 +43,7 @@
     AT_MOST_ONCE = "at most once"
     REFUSED_HAS_NOT_RUN = "refused has not run"
     NOTHING_NEW_WHEN_LEAVING = "nothing new when leaving"
+    RATE_LIMIT = "rate limit"
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry budget"
     CANCELLED_WITH_CALLER = "cancelled with its caller"
@@ -125,6 +128,7 @@
 
     def __init__(self) -> None:
         self.disruptions = Disruptions()
+        self.statements = statements_module.Statements()
         self._violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._sent: dict[str, SentRequest] = {}
@@ -148,8 +152,13 @@
         self._sent[request_id] = sent
         self._arrivals[sent.service].append(sent.at)
 
-    def on_arrival(self, at: float, request_id: str, service: str) -> None:
+    def on_arrival(
+        self, at: float, request_id: str, service: str, endpoint: str = ""
+    ) -> None:
         """Record that a request reached a backend server, run or not."""
+        sent = self._sent.get(request_id)
+        if endpoint and sent is not None:
+            self.statements.on_arrival(endpoint, sent.node, at)
         if (request_id, service) in self._arrived:
             self._repeats[service].append(at)
         self._arrived.add((request_id, service))
@@ -173,6 +182,17 @@
             self._record_violation(
                 Guarantee.AT_MOST_ONCE, run.at, f"{request_id} ran at {runs}"
             )
+        told_at = self.statements.told_leaving_at(run.endpoint, sent.node)
+        if (
+            told_at is not None
+            and sent.at > told_at + DRAIN_S
+            and self.disruptions.is_undisrupted(sent.node, told_at, run.at)
+        ):
+            self._record_violation(
+                Guarantee.NOTHING_NEW_WHEN_LEAVING,
+                run.at,
+                f"{request_id} ran at {run.endpoint} after it stated this",
+            )
         left_at = self._left_at.get(run.endpoint)
         if left_at is not None and run.at > left_at + DRAIN_S:
             self._record_violation(
@@ -241,6 +261,8 @@
                 f"{request_id}: {status} has the seal of another answer",
             )
         sent = self._sent[request_id]
+        for run in self._runs.get(request_id, ()):
+            self.statements.on_answer(run.endpoint, sent.node, at)
         self._check_refusal(request_id)
         late_s = at - sent.at - sent.timeout_s
         if late_s > ANSWER_SLACK_S and self.disruptions.is_undisrupted(
@@ -310,6 +332,14 @@
             self._check_refusal(request_id)
         for service, repeats in self._repeats.items():
             self._check_repeats(service, repeats)
+        for endpoint, at, count, allowed, nodes in self.statements.excesses():
+            start = at - SETTLING_S
+            if self._are_undisrupted(nodes, start, at + SETTLING_S):
+                self._record_violation(
+                    Guarantee.RATE_LIMIT,
+                    at,
+                    f"{endpoint}: {count} requests, {allowed:.0f} allowed",
+                )
         return list(dict.fromkeys(self._violations))
 
     def served_share(self, start: float, end: float) -> float:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -351,7 +351,10 @@
         backend, node.backend = node.backend, None
         if backend is None:
             return
-        await backend.leave(random_source.random() < 0.7)
+        silent_s = random_source.choice(
+            (0.0, 0.0, backend_module.LEAVE_WAIT_S)
+        )
+        await backend.leave(random_source.random() < 0.7, silent_s)
         await testbed.fleet.start_backend(node)
 
     await _run_staggered(
@@ -361,6 +364,24 @@
     )
 
 
+@FAULTS.register("backend_limit")
+async def backend_limit(
+    testbed: Testbed, random_source: random.Random
+) -> None:
+    """Let backend servers state a limit, which changes and ends."""
+    backends = [
+        node.backend
+        for node in testbed.draw_nodes(random_source, 4)
+        if node.backend is not None
+    ]
+    for _ in range(random_source.choice((1, 1, 3))):
+        for backend in backends:
+            backend.limit_rate(random_source.choice((0.0, 1.0, 3.0, 8.0)))
+        await asyncio.sleep(random_source.uniform(3, 10))
+    for backend in backends:
+        backend.limit_rate(None)
+
+
 @FAULTS.register("backend_slow")
 async def backend_slow(testbed: Testbed, random_source: random.Random) -> None:
     """Slow backend servers down."""
--- a/soak/sabotage.py
+++ b/soak/sabotage.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any
 
+from clementinekeel.admission import rate_limiter
 from clementinekeel.platform import main as platform_main
 from clementinekeel.routing import table
 from clementinekeel.runtime import registry
@@ -89,6 +90,14 @@
     _replace_method(outbound.OutboundProxy, "_deliver", deliver_truncated)
 
 
+@SABOTAGES.register("ignored_limit")
+def ignored_limit() -> None:
+    """Send requests to backend servers without regard to their limits."""
+    _replace_method(
+        rate_limiter.RateLimiter, "try_consume", lambda self, now: True
+    )
+
+
 if __name__ == "__main__":
     SABOTAGES.get(sys.argv[1])()
     sys.exit(platform_main.run())
