Check a changing limit over its whole span in the soak

The four seconds now count from the first statement of a span, a window is compared with the highest limit in it, limits last longer, and the sabotage ignores the statement itself.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -377,7 +377,7 @@
     for _ in range(random_source.choice((1, 1, 3))):
         for backend in backends:
             backend.limit_rate(random_source.choice((0.0, 1.0, 3.0, 8.0)))
-        await asyncio.sleep(random_source.uniform(3, 10))
+        await asyncio.sleep(random_source.uniform(5, 14))
     for backend in backends:
         backend.limit_rate(None)
 
--- a/soak/sabotage.py
+++ b/soak/sabotage.py
@@ -9,7 +9,7 @@
 import sys
 from typing import Any
 
-from clementinekeel.admission import rate_limiter
+from clementinekeel.admission import stated_limit
 from clementinekeel.platform import main as platform_main
 from clementinekeel.routing import table
 from clementinekeel.runtime import registry
@@ -94,7 +94,7 @@
 def ignored_limit() -> None:
     """Send requests to backend servers without regard to their limits."""
     _replace_method(
-        rate_limiter.RateLimiter, "try_consume", lambda self, now: True
+        stated_limit.StatedLimit, "on_answer", lambda self, *answer: None
     )
 
 
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -58,7 +58,7 @@
         return self._told_leaving.get((endpoint, node))
 
     def excesses(self) -> Iterator[tuple[str, float, int, float, set[str]]]:
-        """Yield the first excess of each limit.
+        """Yield the first excess of each span in which limits are stated.
 
         Yields
         ------
@@ -67,24 +67,29 @@
             number and the nodes where they began.
         """
         for endpoint, limits in self._limits.items():
-            ends = [at for at, _ in limits[1:]] + [float("inf")]
-            for (start, limit_per_s), end in zip(limits, ends, strict=True):
+            span: list[tuple[float, float]] = []
+            for at, limit_per_s in [*limits, (float("inf"), None)]:
                 if limit_per_s is not None:
-                    yield from self._excess(endpoint, limit_per_s, start, end)
+                    span.append((at, limit_per_s))
+                elif span:
+                    yield from self._excess(endpoint, span, at)
+                    span = []
 
     def _excess(
-        self, endpoint: str, limit_per_s: float, start: float, end: float
+        self, endpoint: str, span: list[tuple[float, float]], end: float
     ) -> Iterator[tuple[str, float, int, float, set[str]]]:
         counted = sorted(
             (at, node)
             for at, node in self._arrivals[endpoint]
-            if start + STABLE_S <= at < end
+            if span[0][0] + STABLE_S <= at < end
             and self._is_told(endpoint, node, at)
         )
         times = [at for at, _ in counted]
-        allowed = RATE_SLACK * limit_per_s * RATE_WINDOW_S + EXTRA_REQUESTS
         for index, first in enumerate(times):
             last = bisect.bisect_left(times, first + RATE_WINDOW_S)
+            highest_per_s = _highest(span, first, first + RATE_WINDOW_S)
+            allowed = RATE_SLACK * highest_per_s * RATE_WINDOW_S
+            allowed += EXTRA_REQUESTS
             if last - index > allowed:
                 nodes = {node for _, node in counted[index:last]}
                 yield endpoint, first, last - index, allowed, nodes
@@ -93,3 +98,11 @@
     def _is_told(self, endpoint: str, node: str, at: float) -> bool:
         told_at = self._told_limit.get((endpoint, node))
         return told_at is not None and told_at + NOTICE_S <= at
+
+
+def _highest(
+    span: list[tuple[float, float]], start: float, end: float
+) -> float:
+    """Return the highest limit in force at some time from start to end."""
+    before = [limit for at, limit in span if at <= start][-1:]
+    return max(before + [limit for at, limit in span if start < at < end])
--- a/tests/soak/test_statements.py
+++ b/tests/soak/test_statements.py
@@ -74,3 +74,11 @@
     assert violated_guarantees(checker) == (
         [Guarantee.NOTHING_NEW_WHEN_LEAVING] * is_broken
     )
+
+
+def test_limits_that_change_bind_without_a_pause():
+    checker = limited_checker()
+    checker.statements.state_limit("e1", 1.0, 13.0)
+    for number in range(1, 13):
+        run_request(checker, number, 14.5)
+    assert violated_guarantees(checker) == [Guarantee.RATE_LIMIT]
