Log and count changes of the store's history

When the store returns from a copy, revisions are given out again. Nodes dropped the header that numbers its histories, and store_regained did not tell from which revision a watch continues, so a watch that skips changes could not be told from one that hangs or comes late.

Adds the event store_epoch_changed, the gauge store_epoch and the revisions of a regained watch to the log. A number that can't be decoded is a malformed answer.

Measured: unit tests, formatter, linters and types pass.

--- a/src/clementinekeel/callers/dialect.py
+++ b/src/clementinekeel/callers/dialect.py
@@ -34,6 +34,9 @@
         States in the answers of a backend server that it is about to stop.
     calling_service : bytes
         Service of the VM from which the request is sent.
+    store_epoch : bytes
+        Number of the store's history in all its answers; it rises when the
+        store returns from a copy, with revisions given out again.
     ready_path : bytes
         Path of the platform's check whether a node accepts requests.
     endpoint_path : bytes
@@ -51,5 +54,6 @@
     rate_limit: bytes
     leaving: bytes
     calling_service: bytes
+    store_epoch: bytes
     ready_path: bytes
     endpoint_path: bytes
--- a/src/clementinekeel/platform/dialect.py
+++ b/src/clementinekeel/platform/dialect.py
@@ -13,6 +13,7 @@
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
     calling_service=b"caller-service",
+    store_epoch=b"store-era",
     ready_path=b"/clementinekeel/readiness",
     endpoint_path=b"/clementinekeel/instances/",
 )
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -72,7 +72,9 @@
                     revision = 0
                 await backoff.wait()
                 continue
-            self._record_reachability(True, "")
+            self._record_reachability(
+                True, f"watch from {revision} to {changes.revision}"
+            )
             backoff.reset()
             revision = max(revision, changes.revision)
             for event in changes.events:
--- a/src/clementinekeel/sidecar/metrics.py
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -67,6 +67,7 @@
     Description("retries_in_window", "Retries of this node, by service."),
     Description("retry_extra", "Retries beyond the share of the requests."),
     Description("listed", "1 if this node's entry is in the store."),
+    Description("store_epoch", "Number of the store's history, 0 if unknown."),
     Description("store_calls", "Calls to the store since the start."),
     Description("store_failures", "Those without a usable answer."),
     Description("log_lines_left_out", "Log lines not written, by rule."),
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -101,7 +101,9 @@
         )
         self._peers.attach(self._inbound_proxy, self._outbound_proxy)
         self._connections: set[http1.ServerConnection] = set()
-        self._store_connections = calls.StoreConnections(*settings.store)
+        self._store_connections = calls.StoreConnections(
+            *settings.store, adapter.dialect.store_epoch, self._on_store_epoch
+        )
         store = adapter.make_store(self._store_connections)
         self._registration = registration.Registration(
             settings,
@@ -198,6 +200,11 @@
             error=repr(context.get("exception")),
         )
 
+    def _on_store_epoch(self, before: int, epoch: int) -> None:
+        self._decisions.write(
+            "store_epoch_changed", False, before=before, epoch=epoch
+        )
+
     def _on_status_change(self) -> None:
         self._peers.publish_own_status()
         self._registration.refresh()
@@ -272,6 +279,7 @@
             yield sample("admitted_share", share, route=route)
         yield from self._chain.retry_samples
         yield sample("listed", float(self._registration.is_listed))
+        yield sample("store_epoch", self._store_connections.epoch)
         yield sample("store_calls", self._store_connections.calls)
         yield sample("store_failures", self._store_connections.failures)
         for rule, count in self._decisions.lines_left_out.items():
--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -1,6 +1,7 @@
 """HTTP calls to the store over a pool of persistent connections."""
 
 import asyncio
+from collections.abc import Callable
 
 from clementinekeel.backends import http1
 from clementinekeel.nodes import link
@@ -11,17 +12,39 @@
 
 
 class StoreConnections:
-    """Connections to one store; each call uses one exclusively."""
+    """Connections to one store; each call uses one exclusively.
 
-    def __init__(self, host: str, port: int) -> None:
+    Parameters
+    ----------
+    epoch_header : bytes
+        Name, in lower case, of the header that numbers the store's history.
+    on_epoch : callable
+        Called with the former and the new number when it changes.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        epoch_header: bytes,
+        on_epoch: Callable[[int, int], None],
+    ) -> None:
         self._host = host
         self._port = port
+        self._epoch_header = epoch_header
+        self._on_epoch = on_epoch
+        self._epoch = 0
         self._idle: list[http1.HttpConnection] = []
         self._busy: set[http1.HttpConnection] = set()
         self._loop = asyncio.get_running_loop()
         self.calls = 0
         self.failures = 0
 
+    @property
+    def epoch(self) -> int:
+        """Number of the store's history; 0 while none is known."""
+        return self._epoch
+
     async def call(
         self,
         step: str,
@@ -45,7 +68,7 @@
         ).encode()
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(step, head, body)
+                answer = await self._exchange(step, head, body)
         except TimeoutError:
             # All connections stop responding together, and a watch that waits
             # on one of them would end only at its own, longer timeout.
@@ -53,6 +76,22 @@
             raise self._counted_error(step, "no answer in time") from None
         except OSError as error:
             raise self._counted_error(step, str(error)) from error
+        self._observe_epoch(step, answer)
+        return answer
+
+    def _observe_epoch(self, step: str, answer: http1.Answer) -> None:
+        """Note the number of the history to which an answer belongs."""
+        values = [v for n, v in answer.headers if n == self._epoch_header]
+        if not values:
+            return
+        if len(set(values)) > 1 or not values[0].isdigit():
+            raise metadata.MetadataError(
+                step, "epoch", metadata.FailureKind.MALFORMED
+            )
+        epoch = int(values[0])
+        if epoch > self._epoch:
+            before, self._epoch = self._epoch, epoch
+            self._on_epoch(before, epoch)
 
     def close_idle(self) -> None:
         """Close the idle connections."""
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -27,6 +27,7 @@
     rate_limit=b"rate-limit",
     leaving=b"leaving",
     calling_service=b"caller",
+    store_epoch=b"epoch",
     ready_path=b"/ready",
     endpoint_path=b"/endpoints/",
 )
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -16,14 +16,17 @@
     """Connection of a store that answers all calls, or none."""
 
     answers = True
+    epoch = b""
 
     def connection_made(self, transport):
         self.transport = transport
 
     def data_received(self, data):
         if type(self).answers and b"/wait" not in data:
+            epoch = type(self).epoch
+            header = b"Epoch: %s\r\n" % epoch if epoch else b""
             self.transport.write(
-                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+                b"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\n{}" % header
             )
 
     def eof_received(self):
@@ -33,9 +36,12 @@
 def run_calls(function):
     async def main():
         StoreProtocol.answers = True
+        StoreProtocol.epoch = b""
         loop = asyncio.get_running_loop()
         await loop.create_server(StoreProtocol, "store", 1)
-        await function(calls.StoreConnections("store", 1))
+        await function(
+            calls.StoreConnections("store", 1, b"epoch", lambda *numbers: None)
+        )
 
     memory_loop.run(main)
 
@@ -88,3 +94,30 @@
         assert (await call(connections)).status == 200
 
     run_calls(scenario)
+
+
+def test_change_of_the_store_s_history_is_noticed():
+    """Revisions of two histories can't be compared."""
+
+    async def scenario(connections):
+        changes = []
+        connections._on_epoch = lambda *numbers: changes.append(numbers)
+        await call(connections)
+        assert connections.epoch == 0
+        for epoch in (b"3", b"3", b"4"):
+            StoreProtocol.epoch = epoch
+            await call(connections)
+        assert changes == [(0, 3), (3, 4)]
+
+    run_calls(scenario)
+
+
+@pytest.mark.parametrize("epoch", [b"-1", b"x", b"1.5"])
+def test_malformed_number_of_the_history_is_an_error(epoch):
+    async def scenario(connections):
+        StoreProtocol.epoch = epoch
+        with pytest.raises(metadata.MetadataError) as caught:
+            await call(connections)
+        assert caught.value.kind is FailureKind.MALFORMED
+
+    run_calls(scenario)
