--- a/tests/sidecar/test_configuration.py
+++ b/tests/sidecar/test_configuration.py
@@ -80,3 +80,54 @@
         assert member.outbound_proxy.version == 5
 
     run_following(scenario)
+
+
+def test_change_is_not_missed_when_its_revision_was_given_out_before():
+    """The watch goes on from a revision that the new history has by then."""
+
+    async def scenario(store, follower, member):
+        store.put("conf", b"5")
+        copied = store.copy()
+        store.put("conf", b"6")
+        store.put("conf", b"7")
+        await harness.settle(1)
+        assert member.outbound_proxy.version == 7
+        await test_registration.return_from_copy(
+            store, copied, ("conf", b"7"), ("conf", b"8")
+        )
+        await harness.settle(2)
+        assert member.outbound_proxy.version == 8
+
+    run_following(scenario)
+
+
+def test_older_version_of_the_copy_does_not_come_into_force():
+    async def scenario(store, follower, member):
+        store.put("conf", b"5")
+        copied = store.copy()
+        store.put("conf", b"6")
+        await harness.settle(1)
+        await test_registration.return_from_copy(store, copied)
+        await harness.settle(2)
+        assert member.outbound_proxy.version == 6
+
+    run_following(scenario)
+
+
+def test_changes_are_followed_after_two_returns_from_copies():
+    async def scenario(store, follower, member):
+        for version in (5, 8, 11):
+            copied = store.copy()
+            store.put("conf", b"%d" % version)
+            store.put("conf", b"%d" % (version + 1))
+            await harness.settle(1)
+            await test_registration.return_from_copy(
+                store,
+                copied,
+                ("conf", b"%d" % (version + 1)),
+                ("conf", b"%d" % (version + 2)),
+            )
+            await harness.settle(2)
+            assert member.outbound_proxy.version == version + 2
+
+    run_following(scenario)
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -23,6 +23,32 @@
         self.revision = 10
         self.failure = None
         self.writes = 0
+        self.last_lease = 0
+        self.epoch = 1
+        self.changed = asyncio.Event()
+
+    def copy(self):
+        """Return a copy to which the store can return."""
+        return (
+            dict(self.items),
+            set(self.leases),
+            list(self.history),
+            self.revision,
+            self.last_lease,
+        )
+
+    def restore(self, copied):
+        """Return from a copy; watches are cut and get the next history."""
+        items, leases, history, self.revision, self.last_lease = copied
+        self.items, self.leases = dict(items), set(leases)
+        self.history = list(history)
+        self.epoch += 1
+        self.failure = None
+
+    def fail(self, kind):
+        """Fail all calls, the waiting watches included."""
+        self.failure = kind
+        self.changed.set()
         self.changed = asyncio.Event()
 
     def _check(self, step):
@@ -64,6 +90,8 @@
     async def watch(self, prefix, after):
         while True:
             self._check("watch")
+            if after > self.revision:
+                raise metadata.MetadataError("watch", "410", K.COMPACTED)
             events = [
                 e
                 for e in self.history
@@ -75,8 +103,9 @@
 
     async def grant(self, ttl_ms):
         self._check("grant")
-        self.leases.add(len(self.leases) + 1)
-        return len(self.leases)
+        self.last_lease += 1
+        self.leases.add(self.last_lease)
+        return self.last_lease
 
     async def renew(self, lease):
         self._check("renew")
@@ -237,3 +266,88 @@
         assert "entry_malformed" in [name for name, _ in member.log.events]
 
     run_registered(scenario)
+
+
+async def return_from_copy(store, copied, *writes):
+    """Let the store be away and return, with writes before any other call."""
+    store.fail(K.UNANSWERED)
+    await harness.settle(1)
+    store.restore(copied)
+    for key, value in writes:
+        store.put(key, value)
+
+
+def test_node_is_found_whose_revision_was_given_out_before():
+    """The watch goes on from a revision that the new history has by then."""
+
+    async def scenario(store, own_registration, member):
+        copied = store.copy()
+        store.put("nodes/n2", entry("n2"))
+        store.put("nodes/n3", entry("n3"))
+        await harness.settle(2)
+        await return_from_copy(
+            store,
+            copied,
+            ("nodes/n4", entry("n4")),
+            ("nodes/n3", entry("n3")),
+        )
+        await harness.settle(2)
+        assert {p.node for p in member.peers.known} >= {"n1", "n3", "n4"}
+        listed = {p.node for p in member.peers.known if p.is_listed}
+        assert listed == {"n3", "n4"}
+
+    run_registered(scenario)
+
+
+def test_entry_that_the_store_lost_is_written_again():
+    async def scenario(store, own_registration, member):
+        store.end_lease(own_registration._lease)
+        copied = store.copy()
+        await harness.settle(2.5)
+        assert "nodes/n1" in store.items
+        await return_from_copy(
+            store, copied, *((f"x{i}", b"") for i in range(9))
+        )
+        await harness.settle(2)
+        assert "nodes/n1" in store.items
+
+    run_registered(scenario)
+
+
+def test_entry_of_the_copy_is_replaced_by_the_present_one():
+    """A restarted node would look for a backend server that has left."""
+
+    async def scenario(store, own_registration, member):
+        copied = store.copy()
+        new = harness.heartbeat("n1", endpoint="e-new", incarnation_ms=9)
+        member.inbound_proxy.on_heartbeat(new)
+        own_registration.refresh()
+        await harness.settle(1)
+        assert b"e-new" in store.items["nodes/n1"].value
+        await return_from_copy(store, copied)
+        await harness.settle(2)
+        assert b"e-new" in store.items["nodes/n1"].value
+
+    run_registered(scenario)
+
+
+def test_lease_that_now_belongs_to_another_node_is_not_used():
+    """Renewals would keep the entry of the other node after its end."""
+
+    async def scenario(store, own_registration, member):
+        store.end_lease(own_registration._lease)
+        copied = store.copy()
+        await harness.settle(2.5)
+        lost_lease = own_registration._lease
+        store.fail(K.UNANSWERED)
+        await harness.settle(1)
+        store.restore(copied)
+        other_lease = await store.grant(9_000)
+        store.put("nodes/n2", entry("n2"), other_lease)
+        assert other_lease == lost_lease
+        await harness.settle(2)
+        own = store.items["nodes/n1"]
+        assert own.lease not in (0, other_lease)
+        assert own.lease == own_registration._lease
+
+    run_registered(scenario)
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -121,3 +121,34 @@
         assert caught.value.kind is FailureKind.MALFORMED
 
     run_calls(scenario)
+
+
+def test_calls_of_an_earlier_history_end_when_a_new_one_is_seen():
+    """A watch from a revision of the earlier history may hang for 25 s."""
+
+    async def scenario(connections):
+        StoreProtocol.epoch = b"1"
+        await call(connections)
+        watch = asyncio.ensure_future(call(connections, "/wait", 28.0))
+        await harness.settle()
+        StoreProtocol.epoch = b"2"
+        await call(connections)
+        await harness.settle()
+        assert watch.done()
+        assert watch.exception().kind is FailureKind.UNANSWERED
+        assert (await call(connections)).body == b"{}"
+
+    run_calls(scenario)
+
+
+def test_late_answer_of_an_earlier_history_is_not_used():
+    async def scenario(connections):
+        StoreProtocol.epoch = b"2"
+        await call(connections)
+        StoreProtocol.epoch = b"1"
+        with pytest.raises(metadata.MetadataError) as caught:
+            await call(connections)
+        assert caught.value.kind is FailureKind.UNANSWERED
+        assert connections.epoch == 2
+
+    run_calls(scenario)
