Follow the store from its new history after it returned from a copy

After the store had returned from a copy, nodes served the routes of an older configuration although a newer one was acknowledged (CONFIG).

Cause: a watch goes on from a revision of the lost history. Once the new one has as many revisions, the store answers it and never reports what was written before. The same comparison was made for the list of nodes and for the node's own entry, whose lease may be given out again.

Each answer has the number of its history. When it rises, calls of the earlier history end, the followers read in full instead of going on, and the registration begins anew: without the old lease and revision, and not under a lease with which a write was sent across the return. Late answers of an earlier history are not used, and pages of two histories are not combined. A configuration still only rises.

Reading in full after each outage was weighed: it needs no number, but each node would read all entries after each short outage, and a watch that is answered only later would still be missed.

--- a/src/clementinekeel/platform/store.py
+++ b/src/clementinekeel/platform/store.py
@@ -74,6 +74,11 @@
     def __init__(self, connections: calls.StoreConnections) -> None:
         self._connections = connections
 
+    @property
+    def epoch(self) -> int:
+        """Number of the store's present history; 0 while it is unknown."""
+        return self._connections.epoch
+
     async def read(self, key: str) -> metadata.Snapshot:
         """Return a snapshot with the item of a key, if there is one."""
         query = urllib.parse.urlencode({"key": key})
@@ -89,12 +94,17 @@
         """Return all items below a prefix, read in pages."""
         items: list[metadata.Item] = []
         query = {"prefix": prefix}
-        revision = 0
+        revision = epoch = 0
         while True:
             target = "kv-range?" + urllib.parse.urlencode(query)
             answer = await self._call("read all", "GET", target)
             _require_success("read all", answer)
             page = _decode("read all", answer.body, _Range)
+            if revision and self.epoch != epoch:
+                raise metadata.MetadataError(
+                    "read all", "two histories", _FailureKind.COMPACTED
+                )
+            epoch = self.epoch
             items.extend(item.as_item() for item in page.items)
             # The pages are of different revisions: a watch from the revision
             # of the first one repeats the changes between them.
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -57,12 +57,12 @@
     async def follow(self) -> None:
         """Read the configuration and follow its changes."""
         backoff = registration.Backoff()
-        revision = 0
+        revision = epoch = 0
         while True:
             try:
-                if not revision:
+                if not revision or self._store.epoch != epoch:
                     snapshot = await self._store.read(self._key)
-                    revision = snapshot.revision
+                    revision, epoch = snapshot.revision, self._store.epoch
                     for item in snapshot.items:
                         self.apply(item.value, "store")
                 changes = await self._store.watch(self._key, revision)
@@ -76,6 +76,8 @@
                 True, f"watch from {revision} to {changes.revision}"
             )
             backoff.reset()
+            if self._store.epoch != epoch:
+                continue
             revision = max(revision, changes.revision)
             for event in changes.events:
                 if isinstance(event, metadata.Item):
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -99,7 +99,11 @@
         self._peers = peers
         self._decisions = decisions
         self._lease = 0
+        # Lease of a write that may have taken effect in a later history, in
+        # which the lease may belong to another node.
+        self._doubtful_lease = 0
         self._revision = 0
+        self._epoch = 0
         self._is_listed = False
         self._changed = asyncio.Event()
         self._is_reachable: dict[str, bool] = {}
@@ -120,7 +124,9 @@
         """Write the entry, renew its lease, and restore it if it is lost."""
         backoff = Backoff()
         while True:
+            self._changed.clear()
             try:
+                self._forget_lost_history()
                 written = self._written_entry
                 if not self._is_listed or written is None:
                     await self._register()
@@ -138,7 +144,8 @@
                 continue
             self._on_success("registration")
             backoff.reset()
-            self._changed.clear()
+            if self._store.epoch != self._epoch:
+                continue
             try:
                 async with asyncio.timeout(RENEWAL_INTERVAL_S):
                     await self._changed.wait()
@@ -148,11 +155,14 @@
     async def follow(self) -> None:
         """Read the entries of all nodes and follow their changes."""
         backoff = Backoff()
-        revision = 0
+        revision = epoch = 0
         while True:
             try:
-                if not revision:
+                if not revision or self._store.epoch != epoch:
                     revision = await self._read_all()
+                    epoch = self._store.epoch
+                    if self._is_listed and self._epoch != epoch:
+                        self._changed.set()
                 changes = await self._store.watch(KEY_PREFIX, revision)
             except metadata.MetadataError as error:
                 self._on_error("node list", error)
@@ -163,14 +173,32 @@
                 continue
             self._on_success("node list")
             backoff.reset()
+            if self._store.epoch != epoch:
+                self._changed.set()
+                continue
             revision = max(revision, changes.revision)
             for event in changes.events:
                 self._apply(event)
             if changes.events:
                 await asyncio.sleep(WATCH_PAUSE_S)
 
+    def _forget_lost_history(self) -> None:
+        """Register again after the store has returned from a copy.
+
+        The lease may now belong to another node, and the entry may be an
+        older one.
+        """
+        epoch = self._store.epoch
+        if epoch == self._epoch:
+            return
+        self._epoch = epoch
+        self._lease = self._revision = 0
+        self._written_entry = None
+        self._is_listed = False
+
     async def _register(self) -> None:
         snapshot = await self._store.read(self._key)
+        self._epoch = self._store.epoch
         existing = snapshot.items[0] if snapshot.items else None
         earlier = self._decode_earlier(existing)
         if not self._has_started:
@@ -178,7 +206,11 @@
             if earlier is not None:
                 self._on_earlier_entry(earlier)
             await self._wait_for_heartbeat()
-        if existing is not None and earlier is not None and existing.lease:
+        if (
+            existing is not None
+            and earlier is not None
+            and existing.lease not in (0, self._doubtful_lease)
+        ):
             # The entry of an earlier process on this VM keeps its lease, so
             # that a restart changes nothing for the other nodes.
             try:
@@ -192,6 +224,7 @@
                 self._written_entry = earlier
                 self._is_listed = True
                 self._decisions.write("entry_taken_over", False, key=self._key)
+                self.refresh()
                 return
         if not self._lease:
             self._lease = await self._store.grant(self._lease_ms)
@@ -199,12 +232,15 @@
 
     async def _write(self, expected_revision: int) -> None:
         entry = self._build_entry()
+        self._doubtful_lease = self._lease
         self._revision = await self._store.write(
             self._key,
             msgspec.json.encode(entry),
             self._lease,
             expected_revision,
         )
+        if self._store.epoch == self._epoch:
+            self._doubtful_lease = 0
         self._written_entry = entry
         self._is_listed = True
         self._decisions.write(
--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -35,7 +35,8 @@
         self._on_epoch = on_epoch
         self._epoch = 0
         self._idle: list[http1.HttpConnection] = []
-        self._busy: set[http1.HttpConnection] = set()
+        # With the number of the history in which the call was made.
+        self._busy: dict[http1.HttpConnection, int] = {}
         self._loop = asyncio.get_running_loop()
         self.calls = 0
         self.failures = 0
@@ -80,7 +81,11 @@
         return answer
 
     def _observe_epoch(self, step: str, answer: http1.Answer) -> None:
-        """Note the number of the history to which an answer belongs."""
+        """Note the number of the history to which an answer belongs.
+
+        Calls of an earlier history end, since a watch from one of its
+        revisions could wait in vain.
+        """
         values = [v for n, v in answer.headers if n == self._epoch_header]
         if not values:
             return
@@ -89,8 +94,13 @@
                 step, "epoch", metadata.FailureKind.MALFORMED
             )
         epoch = int(values[0])
+        if epoch < self._epoch:
+            raise self._counted_error(step, f"answer of history {epoch}")
         if epoch > self._epoch:
             before, self._epoch = self._epoch, epoch
+            for connection, call_epoch in list(self._busy.items()):
+                if 0 < call_epoch < epoch:
+                    connection.abort()
             self._on_epoch(before, epoch)
 
     def close_idle(self) -> None:
@@ -123,7 +133,7 @@
             if not outcome_future.done():
                 outcome_future.set_result(outcome)
 
-        self._busy.add(connection)
+        self._busy[connection] = self._epoch
         try:
             connection.send(head, body, b"", False, on_outcome)
             outcome = await outcome_future
@@ -131,7 +141,7 @@
             connection.cancel()
             raise
         finally:
-            self._busy.discard(connection)
+            del self._busy[connection]
         if isinstance(outcome, http1.Failure):
             connection.close()
             raise self._counted_error(step, outcome.reason)
--- a/src/clementinekeel/store/metadata.py
+++ b/src/clementinekeel/store/metadata.py
@@ -18,7 +18,8 @@
     UNANSWERED = "unanswered"
     """No answer; a write may still take effect, even seconds later."""
     COMPACTED = "compacted"
-    """The history that a watch asked for has been discarded."""
+    """The history that a watch asked for has been discarded, or the store has
+    returned from a copy during the call."""
     NO_LEASE = "no_lease"
     """The lease has ended."""
     CONFLICT = "conflict"
@@ -79,7 +80,16 @@
 
 
 class MetadataStore(Protocol):
-    """Calls to the store. All of them raise ``MetadataError``."""
+    """Calls to the store. All of them raise ``MetadataError``.
+
+    The result of a call belongs to the history that ``epoch`` numbers when
+    the call returns. Revisions and leases of different histories can't be
+    compared: when the store returns from a copy, it gives them out again.
+    """
+
+    @property
+    def epoch(self) -> int:
+        """Number of the store's present history; 0 while it is unknown."""
 
     async def read(self, key: str) -> Snapshot:
         """Return the item of a key, or none, at the current revision."""
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -351,3 +351,34 @@
         assert own.lease == own_registration._lease
 
     run_registered(scenario)
+
+
+@pytest.mark.parametrize("outcome", ["answered", "unanswered"])
+def test_entry_written_under_the_lease_of_another_node_is_replaced(outcome):
+    """A write may take effect after the store has returned from a copy."""
+
+    async def scenario(store, own_registration, member):
+        store.end_lease(own_registration._lease)
+        copied = store.copy()
+        await harness.settle(2.5)
+        write = store.write
+
+        async def write_late(*arguments):
+            store.write = write
+            store.restore(copied)
+            await store.grant(9_000)
+            revision = await write(*arguments[:3], 0)
+            if outcome == "unanswered":
+                raise metadata.MetadataError("write", "test", K.UNANSWERED)
+            return revision
+
+        store.write = write_late
+        new = harness.heartbeat("n1", endpoint="e-new", incarnation_ms=9)
+        member.inbound_proxy.on_heartbeat(new)
+        own_registration.refresh()
+        await harness.settle(2.5)
+        own = store.items["nodes/n1"]
+        assert b"e-new" in own.value
+        assert (own.lease, own_registration._lease) == (3, 3)
+
+    run_registered(scenario)
