Let the soak's store return from a copy

The soak's store could lose nothing, so that no run could show that nodes compare revisions of two histories.

The store keeps copies of the last twelve seconds and numbers its histories. The fault store_restored returns to one of them, the operator writes the newest configuration again, and up to three changes follow at once.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -271,6 +271,22 @@
         store.faults.outage = ""
 
 
+@FAULTS.register("store_restored")
+async def store_restored(
+    testbed: Testbed, random_source: random.Random
+) -> None:
+    """Make the store unavailable and let it return from a copy."""
+    store = testbed.fleet.store
+    with testbed.all_disrupted():
+        store.faults.outage = random_source.choice(("silent", "reset", "busy"))
+        await asyncio.sleep(random_source.uniform(0.5, 3))
+        store.restore(random_source.uniform(0.5, 9))
+        testbed.operator.write_again()
+        store.faults.outage = ""
+        for _ in range(random_source.choice((0, 1, 3))):
+            await testbed.operator.write_configuration()
+
+
 @FAULTS.register("store_cut")
 async def store_cut(testbed: Testbed, random_source: random.Random) -> None:
     """Partition nodes from the store, to which the operator still writes."""
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -64,6 +64,12 @@
         )
         self._checker.on_configuration_written(version, self._loop.time())
 
+    def write_again(self) -> None:
+        """Write the newest configuration again, which the store has lost."""
+        if self._versions:
+            content = self._configuration(self._versions[-1])
+            self._store.put(store_module.CONFIGURATION_KEY, content)
+
     async def probe(
         self,
         name: str,
--- a/soak/run.py
+++ b/soak/run.py
@@ -265,6 +265,7 @@
         await asyncio.sleep(0.2)
         if not fleet.store.faults.outage:
             fleet.store.expire_leases()
+            fleet.store.keep_copy()
 
 
 async def _record_pauses(fleet: fleet_module.Fleet) -> None:
--- a/soak/store.py
+++ b/soak/store.py
@@ -17,6 +17,8 @@
 from soak import _http
 
 CONFIGURATION_KEY = "op/config"
+MAX_COPY_AGE_S = 12.0
+"""Age up to which copies are kept, to which the store can return."""
 
 
 class Event(NamedTuple):
@@ -27,6 +29,17 @@
     item: dict[str, Any] | None
 
 
+class Copy(NamedTuple):
+    """State of the store at one time."""
+
+    at: float
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    events: list[Event]
+    revision: int
+    compacted_revision: int
+
+
 class Faults:
     """Faults in force.
 
@@ -74,6 +87,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.revision = 100
         self.compacted_revision = 0
+        self._era = 1
+        self._copies: list[Copy] = []
         self.faults = Faults()
 
     def create_connection(self, node: str) -> _http.ServerConnection:
@@ -104,6 +119,38 @@
         self._events.clear()
         self._wake_watches()
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the present state, and drop those that are old."""
+        now = asyncio.get_running_loop().time()
+        self._copies.append(
+            Copy(
+                now,
+                dict(self._items),
+                dict(self._leases),
+                list(self._events),
+                self.revision,
+                self.compacted_revision,
+            )
+        )
+        while self._copies[0].at < now - MAX_COPY_AGE_S:
+            del self._copies[0]
+
+    def restore(self, age_s: float) -> None:
+        """Return to the copy of some seconds ago; all later writes are lost.
+
+        Revisions and leases are given out again from there on.
+        """
+        latest = asyncio.get_running_loop().time() - age_s
+        copies = [c for c in self._copies if c.at <= latest]
+        copy = copies[-1] if copies else self._copies[0]
+        self._copies = copies
+        self._items, self._leases = dict(copy.items), dict(copy.leases)
+        self._events = list(copy.events)
+        self.revision = copy.revision
+        self.compacted_revision = copy.compacted_revision
+        self._era += 1
+        self._wake_watches()
+
     def expire_all_leases(self) -> None:
         """Expire all leases now."""
         self._leases = {
@@ -154,7 +201,7 @@
             connection.abort()
             return
         if faults.outage == "busy":
-            connection.respond(503, {}, b"{}")
+            connection.respond(503, self._headers(), b"{}")
             return
         if faults.delay_s:
             await asyncio.sleep(faults.delay_s)
@@ -166,7 +213,11 @@
         status, body = await self._call(call, request)
         if not is_lost:
             translated = self._translate_values(node, body)
-            connection.respond(status, {}, json.dumps(translated).encode())
+            content = json.dumps(translated).encode()
+            connection.respond(status, self._headers(), content)
+
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self._era)}
 
     def _translate_values(
         self, node: str, body: dict[str, Any]
@@ -222,7 +273,10 @@
     ) -> tuple[int, dict[str, Any]]:
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_ms / 1000
-        while after >= self.compacted_revision:
+        era = self._era
+        while self.compacted_revision <= after <= self.revision:
+            if self._era != era:
+                break
             found = [
                 event.item
                 or {"key": event.key, "revision": event.revision}
