Keep what a backend server states in a module of its own

Reading it also showed two gaps: the status of a new incarnation had the limit of the earlier one until the next check, and other nodes did not learn the start of a backend server that was first known from a health check, so that they could not assign its statements after a restart of its node.

BackendStatements holds the limit, what other nodes know of it and the log; a status compares all of its lasting fields. An unused property of the rate limiter is gone.

Tests: the two cases are new in tests/sidecar/test_rate_limit.py; they were not run on the earlier code.

--- a/src/clementinekeel/admission/rate_limiter.py
+++ b/src/clementinekeel/admission/rate_limiter.py
@@ -22,11 +22,6 @@
         self._permits = 0.0
         self._updated_at = 0.0
 
-    @property
-    def rate_per_s(self) -> float | None:
-        """Rate that is kept to, in requests a second; None for no limit."""
-        return self._rate_per_s
-
     @property
     def interval_ms(self) -> float:
         """Mean time between two requests; 0 without a limit."""
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -89,6 +89,23 @@
     is_leaving: bool
 
 
+def no_endpoint(service: str) -> EndpointStatus:
+    """Return the status of a node that knows no backend server."""
+    return EndpointStatus(
+        endpoint="",
+        service=service,
+        is_accepting=False,
+        slots=0,
+        running=0,
+        queued=0,
+        warm_up_left_ms=0,
+        rate_limit_per_s=None,
+        started_ms=0,
+        has_answered=False,
+        is_leaving=False,
+    )
+
+
 class EarlierStatement(NamedTuple):
     """What the receiver's backend server stated before the receiver started.
 
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -9,15 +9,14 @@
 from collections.abc import Callable
 
 from clementinekeel.admission import slot_queue
-from clementinekeel.admission import stated_limit
 from clementinekeel.backends import http1
 from clementinekeel.backends import local
-from clementinekeel.backends import self_report
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.nodes import frames
 from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import backend_statements
 from clementinekeel.sidecar import job as job_module
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
@@ -63,6 +62,13 @@
     )
 
 
+def _lasting_part(status: frames.EndpointStatus) -> frames.EndpointStatus:
+    """Return a status without what changes with each request."""
+    return status._replace(
+        running=0, queued=0, warm_up_left_ms=0, has_answered=False
+    )
+
+
 class InboundProxy:
     """Admits requests to the backend server and returns its answers.
 
@@ -101,11 +107,11 @@
             ),
         )
         self._heartbeats = heartbeats.HeartbeatRecord()
-        self._report = self_report.SelfReport(None, False)
         self._queue = slot_queue.SlotQueue()
-        self._limit = stated_limit.StatedLimit(self._loop.time())
+        self._statements = backend_statements.BackendStatements(
+            dialect, decisions
+        )
         self._applied_limit_per_s: float | None = None
-        self._published_limit_per_s: float | None = None
         self._start_timer: asyncio.TimerHandle | None = None
         self._resend_budgets = service_budgets.ServiceBudgets(
             settings.retry_limits,
@@ -127,34 +133,22 @@
         """State of the backend server, for other nodes."""
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
-            return frames.EndpointStatus(
-                "",
-                self._settings.service,
-                False,
-                0,
-                0,
-                0,
-                0,
-                None,
-                0,
-                False,
-                False,
-            )
+            return frames.no_endpoint(self._settings.service)
         warm_up_left_ms = max(
             0, round((self._warm_up_until - self._loop.time()) * 1000)
         )
         return frames.EndpointStatus(
-            heartbeat.endpoint,
-            heartbeat.service,
-            self._accepts(heartbeat),
-            self._queue.slots,
-            self._queue.running,
-            self._queue.queued,
-            warm_up_left_ms,
-            self._published_limit_per_s,
-            heartbeat.incarnation_ms,
-            self._limit.has_answered,
-            heartbeat.state is heartbeats.EndpointState.DRAINING,
+            endpoint=heartbeat.endpoint,
+            service=heartbeat.service,
+            is_accepting=self._accepts(heartbeat),
+            slots=self._queue.slots,
+            running=self._queue.running,
+            queued=self._queue.queued,
+            warm_up_left_ms=warm_up_left_ms,
+            rate_limit_per_s=self._statements.published_limit_per_s,
+            started_ms=heartbeat.incarnation_ms,
+            has_answered=self._statements.has_answered,
+            is_leaving=heartbeat.state is heartbeats.EndpointState.DRAINING,
         )
 
     @property
@@ -165,7 +159,7 @@
     @property
     def rate_limit_per_s(self) -> float | None:
         """Limit that the backend server states, in requests a second."""
-        return self._limit.limit_per_s
+        return self._statements.limit_per_s
 
     @property
     def is_idle(self) -> bool:
@@ -209,8 +203,8 @@
         if previous is None or not heartbeat.is_same_incarnation(previous):
             self._pool.close_idle()
             self._apply(self._queue.refuse_all("replaced"))
-            self._limit = stated_limit.StatedLimit(now)
-            self._apply_limit(now)
+            self._statements.begin_incarnation()
+            self._apply_limit()
         self._apply(self._queue.resize(_usable_slots(heartbeat.slots), now))
         self._refuse_waiting_if_leaving()
         self._report_status_change(before)
@@ -232,22 +226,10 @@
         stated_by = statement.endpoint, statement.started_ms
         if stated_by != (heartbeat.endpoint, heartbeat.incarnation_ms):
             return
-        limit_per_s = statement.rate_limit_per_s
-        if limit_per_s is not None:
-            now = self._loop.time()
-            self._limit.on_earlier_statement(limit_per_s, now)
-            self._apply_limit(now)
+        self._statements.on_earlier_statement(statement, node)
+        self._apply_limit()
         if statement.is_leaving:
             self._stop_for_leaving()
-        self._decisions.write(
-            "statement_returned",
-            False,
-            endpoint=statement.endpoint,
-            peer=node,
-            stated_per_s=limit_per_s,
-            rate_limit_per_s=self._limit.limit_per_s,
-            is_leaving=statement.is_leaving,
-        )
 
     def stop(self) -> None:
         """Accept no new requests and refuse those that wait for a slot."""
@@ -314,14 +296,7 @@
 
     def _report_status_change(self, before: frames.EndpointStatus) -> None:
         after = self.status
-        if (before.endpoint, before.is_accepting, before.slots) != (
-            after.endpoint,
-            after.is_accepting,
-            after.slots,
-        ) or (before.rate_limit_per_s, before.is_leaving) != (
-            after.rate_limit_per_s,
-            after.is_leaving,
-        ):
+        if _lasting_part(before) != _lasting_part(after):
             self._decisions.write(
                 "endpoint_changed",
                 False,
@@ -481,16 +456,12 @@
         heartbeat = self._heartbeats.latest
         if heartbeat is None or heartbeat.endpoint != job.offer.endpoint:
             return
-        report = self_report.decode(
-            answer.headers, self._dialect.rate_limit, self._dialect.leaving
+        report = self._statements.on_answer(
+            job.offer, answer.headers, job.sent_at
         )
-        if report.malformed_limit is None:
-            now = self._loop.time()
-            self._limit.on_answer(report.rate_limit_per_s, job.sent_at, now)
-            self._apply_limit(now)
+        self._apply_limit()
         if report.is_leaving:
             self._stop_for_leaving()
-        self._log_report(job, report)
 
     def _stop_for_leaving(self) -> None:
         """Send no new requests to a backend server that states its leaving."""
@@ -504,17 +475,17 @@
         if heartbeat is not None and not self._accepts(heartbeat):
             self._apply(self._queue.refuse_all("leaving"))
 
-    def _apply_limit(self, now: float) -> None:
+    def _apply_limit(self) -> None:
         """Let the queue keep to the limit in force."""
-        limit_per_s = self._limit.limit_per_s
+        limit_per_s = self._statements.limit_per_s
         if limit_per_s == self._applied_limit_per_s:
             return
         self._applied_limit_per_s = limit_per_s
         if self._start_timer is not None:
             self._start_timer.cancel()
             self._start_timer = None
-        self._apply(self._queue.limit_rate(limit_per_s, now))
-        if self._published_limit_per_s is None and limit_per_s is not None:
+        self._apply(self._queue.limit_rate(limit_per_s, self._loop.time()))
+        if self._statements.published_limit_per_s is None:
             # Other nodes know the limit before the answer that states it.
             self._publish_limit()
 
@@ -525,25 +496,9 @@
         change with each answer.
         """
         before = self.status
-        self._published_limit_per_s = self._limit.limit_per_s
+        self._statements.published_limit_per_s = self._statements.limit_per_s
         self._report_status_change(before)
 
-    def _log_report(
-        self, job: job_module.Job, report: self_report.SelfReport
-    ) -> None:
-        if report == self._report:
-            return
-        self._report = report
-        self._decisions.write(
-            "backend_reported",
-            False,
-            request_id=job.offer.request_id,
-            endpoint=job.offer.endpoint,
-            rate_limit_per_s=report.rate_limit_per_s,
-            is_leaving=report.is_leaving,
-            malformed_limit=(report.malformed_limit or b"").decode("latin-1"),
-        )
-
     def _on_failure(
         self,
         job: job_module.Job,
--- a/tests/sidecar/test_rate_limit.py
+++ b/tests/sidecar/test_rate_limit.py
@@ -252,3 +252,35 @@
         assert servers[0].most_in_a_window(start) <= allowed(5)
 
     run_members(scenario, [b"5"], others=1)
+
+
+def test_status_of_a_new_incarnation_has_no_limit_of_the_earlier_one():
+    """Other nodes would send it less than it takes."""
+
+    async def scenario(members, servers):
+        await send_steadily(members, 40, 2)
+        members[0].inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", slots=50, incarnation_ms=2)
+        )
+        status = members[0].inbound_proxy.status
+        assert (status.started_ms, status.rate_limit_per_s) == (2, None)
+
+    run_members(scenario, [b"5"])
+
+
+def test_other_nodes_learn_the_incarnation_that_a_heartbeat_completes():
+    """They could not assign a statement after a restart of the node."""
+
+    async def scenario(members, servers):
+        members[0].inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", is_from_health_check=True)
+        )
+        await harness.settle()
+        members[0].inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", 3, slots=50, incarnation_ms=9)
+        )
+        await harness.settle()
+        (peer,) = [p for p in members[1].peers.known if p.node == "n1"]
+        assert peer.status.started_ms == 9
+
+    run_members(scenario, [None], others=1)
