--- a/tests/admission/test_slot_queue.py
+++ b/tests/admission/test_slot_queue.py
@@ -151,7 +151,9 @@
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
-            strategies.sampled_from(["offer", "finish", "cancel", "tick"]),
+            strategies.sampled_from(
+                ["offer", "finish", "cancel", "tick", "limit", "start"]
+            ),
             strategies.integers(0, 3),
             strategies.integers(0, 30),
         ),
@@ -201,8 +203,15 @@
         elif step == "tick":
             now += amount / 100
             apply(queue.expire(now))
+        elif step == "limit":
+            apply(queue.limit_rate(float(amount) if rank else None, now))
+        elif step == "start":
+            apply(queue.start_waiting(now))
         assert queue.running == len(running) <= 3
         assert queue.queued == len(queued)
+        # Without a time to start, a waiting request would wait for ever.
+        starts = queue.next_start_at(now) is not None
+        assert starts == bool(queued and len(running) < 3)
 
 
 def test_waiting_requests_start_at_the_rate_of_the_limit():
