Log who announces and requests a configuration version

When a node got a version late, the logs told when it came into force and from where, but not when the node learned of it, from whom, or whom it had asked.

--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -73,7 +73,9 @@
                 await backoff.wait()
                 continue
             self._record_reachability(
-                True, f"watch from {revision} to {changes.revision}"
+                True,
+                f"watch of history {epoch} from {revision} to"
+                f" {changes.revision}",
             )
             backoff.reset()
             if self._store.epoch != epoch:
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -58,7 +58,9 @@
         self._inbound_proxy: inbound.InboundProxy | None = None
         self.outbound_proxy: Any = None
         self._has_node_list = False
-        self.versions = versions.VersionExchange(self._links, self._distance)
+        self.versions = versions.VersionExchange(
+            self._links, self._distance, decisions
+        )
 
     @property
     def known(self) -> Collection[peer_module.Peer]:
--- a/src/clementinekeel/sidecar/versions.py
+++ b/src/clementinekeel/sidecar/versions.py
@@ -11,6 +11,7 @@
 
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
+from clementinekeel.runtime import decision_log
 
 ANNOUNCE_DELAY_S = 0.5
 """Delay before a new version is announced to other nodes; most have it from
@@ -32,13 +33,17 @@
         Returns the links on which a new version is announced.
     distance : callable
         Returns the distance of the node at the other end of a link.
+    decisions : DecisionLog
+        Log for announcements and requests.
     """
 
     def __init__(
         self,
         links: Callable[[], Iterable[link_module.Link]],
         distance: Callable[[link_module.Link], int],
+        decisions: decision_log.DecisionLog,
     ) -> None:
+        self._decisions = decisions
         self._links = links
         self._distance = distance
         self._loop = asyncio.get_running_loop()
@@ -71,10 +76,16 @@
         newer one, and a node with a newer version answers with its number.
         """
         self._is_announcing = False
-        if not previous_version:
-            return
-        for link in self._links():
+        links = list(self._links()) if previous_version else []
+        for link in links:
             link.send(frames.Ping(self.own_version))
+        self._decisions.write(
+            "configuration_announced",
+            False,
+            version=self.own_version,
+            before=previous_version,
+            links=len(links),
+        )
 
     def on_frame(self, link: link_module.Link, frame: frames.Frame) -> bool:
         """Handle a frame of this exchange; tell whether it was one."""
@@ -96,6 +107,14 @@
         """Request a newer version soon if another node has one."""
         if version <= self.own_version:
             return
+        if not self._newer_versions and self._fetch_timer is None:
+            self._decisions.write(
+                "configuration_outdated",
+                False,
+                version=version,
+                in_force=self.own_version,
+                peer=link.peer.node if link.peer else "",
+            )
         self._newer_versions[link] = version
         if self._fetch_timer is None:
             self._fetch_timer = self._loop.call_later(
@@ -123,8 +142,15 @@
         if not self._newer_versions:
             return
         nearest = min(self._newer_versions, key=self._distance)
-        del self._newer_versions[nearest]
+        version = self._newer_versions.pop(nearest)
         nearest.send(frames.ConfigurationRequest(own_version))
+        self._decisions.write(
+            "configuration_requested",
+            False,
+            version=version,
+            in_force=own_version,
+            peer=nearest.peer.node if nearest.peer else "",
+        )
         self._fetch_timer = self._loop.call_later(
             FETCH_TIMEOUT_S, self._request_from_nearest
         )
