Announce every version that comes into force

Cause: an announcement was left out after a node's first version, and announcements within half a second are joined with the version before the earliest of them. The second version after a start was therefore announced by nobody; others learned of it from the pings of idle links, and links that carry requests send none.

Now every version is announced. The announcement of a first version costs a ping and its answer on each link; it also reaches nodes that greeted before the version was known.

--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -111,7 +111,7 @@
             source=source,
             routes=len(routing_table.routes),
         )
-        self._peers.versions.announce_later(before)
+        self._peers.versions.announce_later()
 
     def _record_reachability(self, is_reachable: bool, reason: str) -> None:
         if is_reachable is not self._is_reachable:
--- a/src/clementinekeel/sidecar/versions.py
+++ b/src/clementinekeel/sidecar/versions.py
@@ -58,32 +58,29 @@
         """Version in force at this node; 0 if there is none."""
         return self.configuration[0]
 
-    def announce_later(self, previous_version: int) -> None:
+    def announce_later(self) -> None:
         """Announce the version in force after ``ANNOUNCE_DELAY_S``.
 
         Several changes within the delay are announced once.
         """
         if not self._is_announcing:
             self._is_announcing = True
-            self._loop.call_later(
-                ANNOUNCE_DELAY_S, self.announce, previous_version
-            )
+            self._loop.call_later(ANNOUNCE_DELAY_S, self.announce)
 
-    def announce(self, previous_version: int) -> None:
-        """Announce the version in force, unless it is the first one.
+    def announce(self) -> None:
+        """Announce the version in force.
 
         The announcement is a ping: a node with an older version requests the
         newer one, and a node with a newer version answers with its number.
         """
         self._is_announcing = False
-        links = list(self._links()) if previous_version else []
+        links = list(self._links())
         for link in links:
             link.send(frames.Ping(self.own_version))
         self._decisions.write(
             "configuration_announced",
             False,
             version=self.own_version,
-            before=previous_version,
             links=len(links),
         )
 
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -354,7 +354,7 @@
             received.append((content, peer))
         )
         members[0].peers.versions.configuration = (7, b"seven")
-        members[0].peers.versions.announce(previous_version=6)
+        members[0].peers.versions.announce()
         await harness.settle(0.5)
         assert received == [(b"seven", "n1")]
 
@@ -377,7 +377,7 @@
         outdated.on_configuration = apply
         for member in members[1:]:
             member.peers.versions.configuration = (7, b"x" * 100_000)
-            member.peers.versions.announce(previous_version=6)
+            member.peers.versions.announce()
         await harness.settle(3)
         transports = asyncio.get_running_loop().transports
         sent = sum(len(transport.written) for transport in transports)
@@ -394,7 +394,7 @@
         outdated.on_configuration = lambda content, peer: received.append(peer)
         for member in members[1:]:
             member.peers.versions.configuration = (7, b"seven")
-            member.peers.versions.announce(previous_version=6)
+            member.peers.versions.announce()
         await harness.settle(0.1)
         # The nearest nodes with a newer version lose it again.
         members[1].peers.versions.configuration = (0, b"")
