Ask the next node sooner for a version when one doesn't answer

A node without the store asks the nodes that have a newer version one after the other. A node that is frozen, slow or cut off cost a second each: with two of them a version came into force 2.7 s after its acknowledgement at best (0.5 s until the announcement, 0.2 s until the request), where 2.5 s are allowed.

The next node is now asked after 0.4 s as well; an answer takes a few milliseconds in the same region, and at most one configuration is requested in that time.

The cases with two and with three silent nodes failed before.

--- a/src/clementinekeel/sidecar/versions.py
+++ b/src/clementinekeel/sidecar/versions.py
@@ -19,9 +19,10 @@
 FETCH_DELAY_S = 0.2
 """Delay before a node requests a newer version from another one; its own watch
 of the store is usually faster."""
-FETCH_TIMEOUT_S = 1.0
-"""Time to wait for a configuration before the next node is asked; 1 MB takes
-0.3 s over the link between regions."""
+FETCH_INTERVAL_S = 0.4
+"""Time after which the next node is asked as well. A configuration takes a few
+milliseconds in the same region, and 1 MB takes 0.3 s over the link between
+regions; nodes that are frozen or unreachable don't answer at all."""
 
 
 class VersionExchange:
@@ -149,5 +150,5 @@
             peer=nearest.peer.node if nearest.peer else "",
         )
         self._fetch_timer = self._loop.call_later(
-            FETCH_TIMEOUT_S, self._request_from_nearest
+            FETCH_INTERVAL_S, self._request_from_nearest
         )
--- a/tests/sidecar/test_versions.py
+++ b/tests/sidecar/test_versions.py
@@ -7,6 +7,11 @@
 from tests import memory_loop
 from tests.sidecar import harness
 
+CONFIGURATION_BOUND_S = 2.5
+"""Time after which an acknowledged change is in force."""
+ROUND_TRIP_S = 0.1
+"""Round trip between regions, with some reserve."""
+
 
 class RecordingLink:
     """Takes the place of a link and keeps the frames that are sent."""
@@ -22,6 +27,15 @@
         self.sent.append(frame)
 
 
+def asked(links):
+    """Return the links on which a configuration was requested."""
+    return [
+        link
+        for link in links
+        if any(isinstance(f, frames.ConfigurationRequest) for f in link.sent)
+    ]
+
+
 def run_exchange(function, *names):
     async def main():
         links = [RecordingLink(name) for name in names]
@@ -46,3 +60,34 @@
         assert links[0].sent == [frames.Ping(in_force[-1])]
 
     run_exchange(scenario, "n2")
+
+
+@pytest.mark.parametrize("silent", [0, 1, 2, 3])
+def test_silent_nodes_do_not_delay_a_version_beyond_the_bound(silent):
+    """Asking them one after the other, a second each, exceeded 2.5 s."""
+
+    async def scenario(exchange, links):
+        exchange.configuration = (1, b"")
+        await harness.settle(versions.ANNOUNCE_DELAY_S)
+        for link in links:
+            exchange.on_frame(link, frames.Ping(2))
+        left_s = CONFIGURATION_BOUND_S - versions.ANNOUNCE_DELAY_S
+        await harness.settle(left_s - ROUND_TRIP_S)
+        assert links[silent] in asked(links)
+
+    run_exchange(scenario, "n2", "n3", "n4", "n5")
+
+
+def test_no_other_node_is_asked_once_a_version_has_arrived():
+    """A long configuration would fill the link between regions."""
+
+    async def scenario(exchange, links):
+        exchange.configuration = (1, b"")
+        for link in links:
+            exchange.on_frame(link, frames.Ping(2))
+        await harness.settle(versions.FETCH_DELAY_S + ROUND_TRIP_S)
+        exchange.configuration = (2, b"")
+        await harness.settle(5)
+        assert asked(links) == links[:1]
+
+    run_exchange(scenario, "n2", "n3", "n4")
