Make calls to the store name the history of their revisions

After a return of the store from a copy, a node without any other node to reach could serve an older configuration for up to 25 s.

Cause: a call counted as one of the history that was known when its connection was ready. If another call's answer showed a new history while a watch made its connection (60 ms between regions), the watch began in the new history at a revision of the lost one, and was not ended as a call of the earlier history. The same held for renewals and writes with a lease of the lost history.

Calls with a revision or a lease now name its history; they are not sent once another one is known, and an answer of another history is an error. Answers carry their history, so that followers don't ask for it later.

Both cases of test_call_with_a_revision_of_a_lost_history_fails failed before.

--- a/src/clementinekeel/platform/store.py
+++ b/src/clementinekeel/platform/store.py
@@ -85,10 +85,10 @@
         answer = await self._call("read", "GET", f"kv-key?{query}")
         if answer.status == 404:
             missing = _decode("read", answer.body or b"{}", _Missing)
-            return metadata.Snapshot([], missing.at_rev)
+            return metadata.Snapshot([], missing.at_rev, self.epoch)
         _require_success("read", answer)
         item = _decode("read", answer.body, _OneItem)
-        return metadata.Snapshot([item.as_item()], item.at_rev)
+        return metadata.Snapshot([item.as_item()], item.at_rev, self.epoch)
 
     async def read_all(self, prefix: str) -> metadata.Snapshot:
         """Return all items below a prefix, read in pages."""
@@ -110,16 +110,22 @@
             # of the first one repeats the changes between them.
             revision = revision or page.at_rev
             if not page.has_more or not page.items:
-                return metadata.Snapshot(items, revision)
+                return metadata.Snapshot(items, revision, epoch)
             query["after"] = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int) -> metadata.Changes:
+    async def watch(
+        self, prefix: str, after: int, epoch: int
+    ) -> metadata.Changes:
         """Wait for changes below a prefix after a revision."""
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "wait_ms": WATCH_WAIT_MS}
         )
         answer = await self._call(
-            "watch", "GET", f"kv-watch?{query}", timeout_s=WATCH_TIMEOUT_S
+            "watch",
+            "GET",
+            f"kv-watch?{query}",
+            epoch=epoch,
+            timeout_s=WATCH_TIMEOUT_S,
         )
         if answer.status == 410:
             raise metadata.MetadataError(
@@ -133,24 +139,31 @@
             else event.as_item()
             for event in changes.events
         ]
-        return metadata.Changes(events, changes.at_rev)
+        return metadata.Changes(events, changes.at_rev, epoch)
 
-    async def grant(self, ttl_ms: int) -> int:
+    async def grant(self, ttl_ms: int, epoch: int) -> int:
         """Create a lease and return its identifier."""
         body = {"ttl_s_time": ttl_ms / MS_PER_S}
-        answer = await self._call("grant", "POST", "kv-lease", body)
+        answer = await self._call("grant", "POST", "kv-lease", body, epoch)
         _require_success("grant", answer)
         return _decode("grant", answer.body, _Lease).lease_id
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: int, epoch: int) -> None:
         """Renew a lease."""
-        answer = await self._call("renew", "POST", f"kv-keep/{lease}", {})
+        answer = await self._call(
+            "renew", "POST", f"kv-keep/{lease}", {}, epoch
+        )
         if answer.status == 404:
             raise metadata.MetadataError("renew", "404", _FailureKind.NO_LEASE)
         _require_success("renew", answer)
 
     async def write(
-        self, key: str, value: bytes, lease: int, expected_revision: int
+        self,
+        key: str,
+        value: bytes,
+        lease: int,
+        expected_revision: int,
+        epoch: int,
     ) -> int:
         """Write a key under a lease if its revision is the expected one."""
         body = {
@@ -164,7 +177,7 @@
             ],
             "deletes": [],
         }
-        answer = await self._call("write", "POST", "kv-txn", body)
+        answer = await self._call("write", "POST", "kv-txn", body, epoch)
         if answer.status == 412:
             raise metadata.MetadataError("write", "412", _FailureKind.CONFLICT)
         if answer.status == 404:
@@ -178,11 +191,12 @@
         method: str,
         path: str,
         body: Any = None,
+        epoch: int | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> http1.Answer:
         content = b"" if body is None else msgspec.json.encode(body)
         return await self._connections.call(
-            step, method, f"/clementinekeel/{path}", content, timeout_s
+            step, method, f"/clementinekeel/{path}", content, timeout_s, epoch
         )
 
 
--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -62,10 +62,10 @@
             try:
                 if not revision or self._store.epoch != epoch:
                     snapshot = await self._store.read(self._key)
-                    revision, epoch = snapshot.revision, self._store.epoch
+                    revision, epoch = snapshot.revision, snapshot.epoch
                     for item in snapshot.items:
                         self.apply(item.value, "store")
-                changes = await self._store.watch(self._key, revision)
+                changes = await self._store.watch(self._key, revision, epoch)
             except metadata.MetadataError as error:
                 self._record_reachability(False, error.reason)
                 if error.kind in metadata.GAP_FAILURES:
@@ -78,8 +78,6 @@
                 f" {changes.revision}",
             )
             backoff.reset()
-            if self._store.epoch != epoch:
-                continue
             revision = max(revision, changes.revision)
             for event in changes.events:
                 if isinstance(event, metadata.Item):
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -133,7 +133,7 @@
                 elif not self._is_current(written):
                     await self._write(self._revision)
                 else:
-                    await self._store.renew(self._lease)
+                    await self._store.renew(self._lease, self._epoch)
             except metadata.MetadataError as error:
                 self._on_error("registration", error)
                 if error.kind is metadata.FailureKind.NO_LEASE:
@@ -159,11 +159,11 @@
         while True:
             try:
                 if not revision or self._store.epoch != epoch:
-                    revision = await self._read_all()
-                    epoch = self._store.epoch
+                    snapshot = await self._read_all()
+                    revision, epoch = snapshot.revision, snapshot.epoch
                     if self._is_listed and self._epoch != epoch:
                         self._changed.set()
-                changes = await self._store.watch(KEY_PREFIX, revision)
+                changes = await self._store.watch(KEY_PREFIX, revision, epoch)
             except metadata.MetadataError as error:
                 self._on_error("node list", error)
                 if error.kind in metadata.GAP_FAILURES:
@@ -173,9 +173,6 @@
                 continue
             self._on_success("node list")
             backoff.reset()
-            if self._store.epoch != epoch:
-                self._changed.set()
-                continue
             revision = max(revision, changes.revision)
             for event in changes.events:
                 self._apply(event)
@@ -198,7 +195,7 @@
 
     async def _register(self) -> None:
         snapshot = await self._store.read(self._key)
-        self._epoch = self._store.epoch
+        self._epoch = snapshot.epoch
         existing = snapshot.items[0] if snapshot.items else None
         earlier = self._decode_earlier(existing)
         if not self._has_started:
@@ -214,7 +211,7 @@
             # The entry of an earlier process on this VM keeps its lease, so
             # that a restart changes nothing for the other nodes.
             try:
-                await self._store.renew(existing.lease)
+                await self._store.renew(existing.lease, self._epoch)
             except metadata.MetadataError as error:
                 if error.kind is not metadata.FailureKind.NO_LEASE:
                     raise
@@ -227,7 +224,7 @@
                 self.refresh()
                 return
         if not self._lease:
-            self._lease = await self._store.grant(self._lease_ms)
+            self._lease = await self._store.grant(self._lease_ms, self._epoch)
         await self._write(existing.revision if existing is not None else 0)
 
     async def _write(self, expected_revision: int) -> None:
@@ -238,6 +235,7 @@
             msgspec.json.encode(entry),
             self._lease,
             expected_revision,
+            self._epoch,
         )
         if self._store.epoch == self._epoch:
             self._doubtful_lease = 0
@@ -301,7 +299,7 @@
         except TimeoutError:
             return
 
-    async def _read_all(self) -> int:
+    async def _read_all(self) -> metadata.Snapshot:
         snapshot = await self._store.read_all(KEY_PREFIX)
         for item in snapshot.items:
             self._apply(item)
@@ -309,7 +307,7 @@
         self._peers.set_listed(listed)
         if self._is_listed and self._key[len(KEY_PREFIX) :] not in listed:
             self._on_entry_lost()
-        return snapshot.revision
+        return snapshot
 
     def _apply(self, event: metadata.Item | metadata.Removed) -> None:
         node = event.key.removeprefix(KEY_PREFIX)
--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -53,13 +53,21 @@
         target: str,
         body: bytes,
         timeout_s: float,
+        epoch: int | None = None,
     ) -> http1.Answer:
         """Make one call and return its answer.
 
+        Parameters
+        ----------
+        epoch : int or None
+            History to which revisions and leases in the call belong; None if
+            there are none.
+
         Raises
         ------
         metadata.MetadataError
-            If no complete answer arrives in time.
+            If no complete answer arrives in time, or if the call belongs to
+            another history than the store's.
         """
         self.calls += 1
         head = (
@@ -69,7 +77,7 @@
         ).encode()
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await self._exchange(step, head, body)
+                answer = await self._exchange(step, head, body, epoch)
         except TimeoutError:
             # All connections stop responding together, and a watch that waits
             # on one of them would end only at its own, longer timeout.
@@ -78,6 +86,7 @@
         except OSError as error:
             raise self._counted_error(step, str(error)) from error
         self._observe_epoch(step, answer)
+        self._require_epoch(step, epoch)
         return answer
 
     def _observe_epoch(self, step: str, answer: http1.Answer) -> None:
@@ -121,10 +130,22 @@
             step, reason, metadata.FailureKind.UNANSWERED
         )
 
+    def _require_epoch(self, step: str, epoch: int | None) -> None:
+        if epoch is not None and epoch != self._epoch:
+            raise metadata.MetadataError(
+                step,
+                f"history {self._epoch} instead of {epoch}",
+                metadata.FailureKind.COMPACTED,
+            )
+
     async def _exchange(
-        self, step: str, head: bytes, body: bytes
+        self, step: str, head: bytes, body: bytes, epoch: int | None
     ) -> http1.Answer:
         connection = await self._acquire()
+        # Another call may have shown a new history in the meantime.
+        if epoch is not None and epoch != self._epoch:
+            self._release(connection)
+            self._require_epoch(step, epoch)
         outcome_future: asyncio.Future[http1.Outcome] = (
             self._loop.create_future()
         )
@@ -145,11 +166,14 @@
         if isinstance(outcome, http1.Failure):
             connection.close()
             raise self._counted_error(step, outcome.reason)
+        self._release(connection)
+        return outcome
+
+    def _release(self, connection: http1.HttpConnection) -> None:
         if connection.is_reusable:
             self._idle.append(connection)
         else:
             connection.close()
-        return outcome
 
     async def _acquire(self) -> http1.HttpConnection:
         while self._idle:
--- a/src/clementinekeel/store/metadata.py
+++ b/src/clementinekeel/store/metadata.py
@@ -66,25 +66,40 @@
 
 
 class Snapshot(NamedTuple):
-    """Items and the store's revision at which they were read."""
+    """Items and the store's revision at which they were read.
+
+    Attributes
+    ----------
+    epoch : int
+        History to which the revisions and leases belong.
+    """
 
     items: Sequence[Item]
     revision: int
+    epoch: int
 
 
 class Changes(NamedTuple):
-    """Changes since a revision, and the revision to continue from."""
+    """Changes since a revision, and the revision to continue from.
+
+    Attributes
+    ----------
+    epoch : int
+        History to which the revisions belong.
+    """
 
     events: Sequence[Item | Removed]
     revision: int
+    epoch: int
 
 
 class MetadataStore(Protocol):
     """Calls to the store. All of them raise ``MetadataError``.
 
-    The result of a call belongs to the history that ``epoch`` numbers when
-    the call returns. Revisions and leases of different histories can't be
-    compared: when the store returns from a copy, it gives them out again.
+    Revisions and leases of different histories can't be compared: when the
+    store returns from a copy, it gives them out again. A call with a revision
+    or a lease names the history to which it belongs, and fails with
+    ``COMPACTED`` if the store has another one by the time of sending.
     """
 
     @property
@@ -97,17 +112,22 @@
     async def read_all(self, prefix: str) -> Snapshot:
         """Return the items of all keys with a prefix."""
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(self, prefix: str, after: int, epoch: int) -> Changes:
         """Wait for changes of keys with a prefix; none after a timeout."""
 
-    async def grant(self, ttl_ms: int) -> int:
-        """Create a lease and return its id."""
+    async def grant(self, ttl_ms: int, epoch: int) -> int:
+        """Create a lease in a history and return its id."""
 
-    async def renew(self, lease: int) -> None:
+    async def renew(self, lease: int, epoch: int) -> None:
         """Renew a lease; fails with ``NO_LEASE`` if it has ended."""
 
     async def write(
-        self, key: str, value: bytes, lease: int, expected_revision: int
+        self,
+        key: str,
+        value: bytes,
+        lease: int,
+        expected_revision: int,
+        epoch: int,
     ) -> int:
         """Write a key under a lease if it is at a revision (0: absent).
 
--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -94,7 +94,8 @@
 class MemoryLoop(asyncio.SelectorEventLoop):
     """Event loop whose connections stay in memory.
 
-    Data arrive after ``delay_s``. Connections to ``silent_hosts`` are neither
+    Connections are made after ``connect_delay_s`` and data arrive after
+    ``delay_s``. Connections to ``silent_hosts`` are neither
     accepted nor refused.
     """
 
@@ -105,6 +106,7 @@
         self.transports = []
         self.silent_hosts = set()
         self.delay_s = 0.0
+        self.connect_delay_s = 0.0
 
     def time(self):
         return self._time_selector.now
@@ -122,6 +124,8 @@
     async def create_connection(self, factory, host, port, **_options):
         if host in self.silent_hosts:
             await asyncio.sleep(TEST_TIMEOUT_S)
+        if self.connect_delay_s:
+            await asyncio.sleep(self.connect_delay_s)
         accept = self.listeners.get((host, port))
         if accept is None:
             raise ConnectionRefusedError(f"{host}:{port}")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,7 +17,7 @@
         self.answers = list(answers)
         self.epoch = 1
 
-    async def call(self, step, method, target, body, timeout_s):
+    async def call(self, step, method, target, body, timeout_s, epoch):
         self.epoch, content = self.answers.pop(0)
         encoded = json.dumps(content).encode()
         return http1.Answer(200, b"OK", [], encoded)
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -51,9 +51,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _check(self, step):
+    def _check(self, step, epoch=None):
         if self.failure is not None:
             raise metadata.MetadataError(step, "test", self.failure)
+        if epoch not in (None, self.epoch):
+            raise metadata.MetadataError(step, "history", K.COMPACTED)
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -80,16 +82,16 @@
     async def read(self, key):
         self._check("read")
         found = [self.items[key]] if key in self.items else []
-        return metadata.Snapshot(found, self.revision)
+        return metadata.Snapshot(found, self.revision, self.epoch)
 
     async def read_all(self, prefix):
         self._check("read all")
         found = [i for k, i in self.items.items() if k.startswith(prefix)]
-        return metadata.Snapshot(found, self.revision)
+        return metadata.Snapshot(found, self.revision, self.epoch)
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, epoch):
         while True:
-            self._check("watch")
+            self._check("watch", epoch)
             if after > self.revision:
                 raise metadata.MetadataError("watch", "410", K.COMPACTED)
             events = [
@@ -98,22 +100,22 @@
                 if e.revision > after and e.key.startswith(prefix)
             ]
             if events:
-                return metadata.Changes(events, self.revision)
+                return metadata.Changes(events, self.revision, self.epoch)
             await self.changed.wait()
 
-    async def grant(self, ttl_ms):
-        self._check("grant")
+    async def grant(self, ttl_ms, epoch):
+        self._check("grant", epoch)
         self.last_lease += 1
         self.leases.add(self.last_lease)
         return self.last_lease
 
-    async def renew(self, lease):
-        self._check("renew")
+    async def renew(self, lease, epoch):
+        self._check("renew", epoch)
         if lease not in self.leases:
             raise metadata.MetadataError("renew", "404", K.NO_LEASE)
 
-    async def write(self, key, value, lease, expected_revision):
-        self._check("write")
+    async def write(self, key, value, lease, expected_revision, epoch):
+        self._check("write", epoch)
         held = self.items.get(key)
         if (held.revision if held else 0) != expected_revision:
             raise metadata.MetadataError("write", "412", K.CONFLICT)
@@ -342,7 +344,7 @@
         store.fail(K.UNANSWERED)
         await harness.settle(1)
         store.restore(copied)
-        other_lease = await store.grant(9_000)
+        other_lease = await store.grant(9_000, store.epoch)
         store.put("nodes/n2", entry("n2"), other_lease)
         assert other_lease == lost_lease
         await harness.settle(2)
@@ -366,8 +368,8 @@
         async def write_late(*arguments):
             store.write = write
             store.restore(copied)
-            await store.grant(9_000)
-            revision = await write(*arguments[:3], 0)
+            await store.grant(9_000, store.epoch)
+            revision = await write(*arguments[:3], 0, store.epoch)
             if outcome == "unanswered":
                 raise metadata.MetadataError("write", "test", K.UNANSWERED)
             return revision
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -152,3 +152,38 @@
         assert connections.epoch == 2
 
     run_calls(scenario)
+
+
+@pytest.mark.parametrize("is_shown", ["while_connecting", "by_the_answer"])
+def test_call_with_a_revision_of_a_lost_history_fails(is_shown):
+    """A watch from such a revision could wait for 25 s and miss a change."""
+
+    async def scenario(connections):
+        StoreProtocol.epoch = b"1"
+        await call(connections)
+        StoreProtocol.epoch = b"2"
+        if is_shown == "while_connecting":
+            # The idle connection is taken, so that the next call opens one.
+            other = asyncio.ensure_future(call(connections))
+            await asyncio.sleep(0)
+            connections._loop.connect_delay_s = 0.06
+            path = "/wait"
+        else:
+            path = "/x"
+        with pytest.raises(metadata.MetadataError) as caught:
+            await connections.call("watch", "GET", path, b"", 28.0, 1)
+        assert caught.value.kind is FailureKind.COMPACTED
+        if is_shown == "while_connecting":
+            await other
+
+    run_calls(scenario)
+
+
+def test_call_with_a_revision_of_the_present_history_is_made():
+    async def scenario(connections):
+        StoreProtocol.epoch = b"3"
+        await call(connections)
+        answer = await connections.call("watch", "GET", "/x", b"", 28.0, 3)
+        assert answer.status == 200
+
+    run_calls(scenario)
