Apply only the configuration's own key

A watch covers all keys with a prefix. An item beside the configuration whose key begins like it, such as a draft, was put in force if it could be decoded and had a higher version, and no later version with a lower number was taken any more.

test_key_that_begins_like_the_configuration_s_is_not_applied failed before.

--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -80,7 +80,9 @@
             backoff.reset()
             revision = max(revision, changes.revision)
             for event in changes.events:
-                if isinstance(event, metadata.Item):
+                # The watch also reports longer keys with the same beginning.
+                is_configuration = event.key == self._key
+                if is_configuration and isinstance(event, metadata.Item):
                     self.apply(event.value, "store")
 
     def apply(self, content: bytes, source: str) -> None:
--- a/tests/sidecar/test_configuration.py
+++ b/tests/sidecar/test_configuration.py
@@ -72,6 +72,22 @@
     run_following(scenario)
 
 
+def test_key_that_begins_like_the_configuration_s_is_not_applied():
+    """A draft beside the configuration was not accepted by the store."""
+
+    async def scenario(store, follower, member):
+        store.put("conf", b"5")
+        store.put("conf-draft", b"9")
+        store.put("conf/9", b"9")
+        await harness.settle(1)
+        assert member.outbound_proxy.version == 5
+        store.put("conf", b"6")
+        await harness.settle(1)
+        assert member.outbound_proxy.version == 6
+
+    run_following(scenario)
+
+
 def test_late_older_version_from_another_node_is_ignored():
     async def scenario(store, follower, member):
         store.put("conf", b"5")
