Decode JSON of other writers within bounds, with one kind of error

One odd item in the store ended the process of every node that read it: msgspec raises RecursionError, not DecodeError, for deep nesting, also in a field that the type doesn't have; the follower of the entries runs in the node's task group. The nodes would end again at each start. Rounding a time of 1e308 raises OverflowError, and a port of 70,000 or a number of 30 digits was accepted and failed later, where it was used.

runtime/decoding decodes JSON with bounded types and one error; entries, heartbeats, the configuration and the answers of the store use it. The entry of a node is a module of its own. A value of the store that is not base64 is an error of the call as well.

--- a/src/clementinekeel/platform/configuration.py
+++ b/src/clementinekeel/platform/configuration.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from clementinekeel.routing import table
+from clementinekeel.runtime import decoding
 from clementinekeel.runtime import errors
 
 CONFIGURATION_KEY = "op/config"
@@ -18,7 +19,7 @@
 
 class _Split(TypedDict):
     service: str
-    weight: int
+    weight: decoding.Count
 
 
 class _RouteSpec(msgspec.Struct):
@@ -27,25 +28,25 @@
     prefix: str
     # Whether requests may run more than once; not a protocol.
     route_type: table.RouteType
-    timeout_s: float
-    max_attempts: int
+    timeout_s: decoding.DurationS
+    max_attempts: decoding.Count
     # Latency objective of one request; not an availability objective.
-    slo_s: float = 0.0
-    priority: int = 0
+    slo_s: decoding.DurationS = 0.0
+    priority: decoding.Count = 0
     service: str | None = None
     traffic_split: list[_Split] | None = None
 
 
 class _ServiceSpec(msgspec.Struct):
     name: str
-    health_path: str = ""
+    health_path: decoding.Token = ""
 
 
 class _LimitsSpec(msgspec.Struct):
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    header_bytes: decoding.Number
+    body_bytes: decoding.Number
+    header_timeout_s: decoding.DurationS
+    idle_timeout_s: decoding.DurationS
 
 
 class _Table(msgspec.Struct):
@@ -122,14 +123,14 @@
     """
     try:
         return result.Success(_decode(content))
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.ValidationError, ValueError) as error:
         return result.Failure(
             errors.StepError("decode configuration", "store", str(error))
         )
 
 
 def _decode(content: bytes) -> table.RoutingTable:
-    body = msgspec.json.decode(content, type=_Body)
+    body = decoding.decode_json(content, _Body)
     services = _rows(body.services, _ServiceSpec)
     return table.RoutingTable(
         int(body.version, HEX_BASE),
--- a/src/clementinekeel/platform/heartbeats.py
+++ b/src/clementinekeel/platform/heartbeats.py
@@ -4,33 +4,31 @@
 from returns import result
 
 from clementinekeel.membership import heartbeats
+from clementinekeel.runtime import decoding
 from clementinekeel.runtime import errors
 
 MS_PER_S = 1000
 
 
 class _Info(msgspec.Struct):
-    service: str
-    concurrency: int
+    service: decoding.Text
+    concurrency: decoding.Count
 
 
 class _Status(msgspec.Struct):
     state: heartbeats.EndpointState
-    seq: int
+    seq: decoding.Number
     # Remaining warm-up time after the start.
-    cold_left_s: float = 0.0
+    cold_left_s: decoding.DurationS = 0.0
 
 
 class _Body(msgspec.Struct):
-    address: str
+    address: decoding.Text
     info: _Info
     status: _Status
     # Start of the endpoint, in Unix milliseconds; distinguishes two starts
     # under the same identity.
-    born: int = 0
-
-
-_decoder = msgspec.json.Decoder(_Body)
+    born: decoding.Number = 0
 
 
 def decode_heartbeat(
@@ -51,8 +49,8 @@
         The heartbeat, or an error that names the faulty field.
     """
     try:
-        content = _decoder.decode(body)
-    except msgspec.DecodeError as error:
+        content = decoding.decode_json(body, _Body)
+    except decoding.DecodingError as error:
         return result.Failure(
             errors.StepError("decode heartbeat", endpoint, str(error))
         )
--- a/src/clementinekeel/platform/store.py
+++ b/src/clementinekeel/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from clementinekeel.backends import http1
+from clementinekeel.runtime import decoding
 from clementinekeel.store import calls
 from clementinekeel.store import metadata
 
@@ -35,7 +36,12 @@
     removed: bool = False
 
     def as_item(self) -> metadata.Item:
-        content = base64.b64decode(self.value)
+        try:
+            content = base64.b64decode(self.value, validate=True)
+        except ValueError as error:
+            raise metadata.MetadataError(
+                "read value", str(error), _FailureKind.MALFORMED
+            ) from error
         return metadata.Item(self.key, content, self.revision, self.lease_id)
 
 
@@ -214,8 +220,8 @@
 
 def _decode(step: str, content: bytes, answer_type: type[T]) -> T:
     try:
-        return msgspec.json.decode(content, type=answer_type)
-    except msgspec.DecodeError as error:
+        return decoding.decode_json(content, answer_type)
+    except decoding.DecodingError as error:
         raise metadata.MetadataError(
             step, str(error), _FailureKind.MALFORMED
         ) from error
--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -19,8 +19,8 @@
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import inbound
-from clementinekeel.sidecar import registration
 
 HEALTH_CHECK_INTERVAL_S = 0.1
 """Time between two health checks while the backend server does not answer."""
@@ -65,7 +65,7 @@
         self._health_check: asyncio.Task[None] | None = None
 
     def on_earlier_entry(
-        self, entry: registration.Entry, address: str
+        self, entry: entry_module.Entry, address: str
     ) -> None:
         """Verify the backend server that an earlier process used."""
         if (
--- /dev/null
+++ b/src/clementinekeel/sidecar/entry.py
@@ -0,0 +1,38 @@
+"""Entry of a node in the store."""
+
+import msgspec
+
+from clementinekeel.runtime import decoding
+
+
+class Entry(msgspec.Struct):
+    """Entry of a node in the store."""
+
+    host: decoding.Host
+    port: decoding.Port
+    zone: decoding.Text
+    region: decoding.Text
+    # The backend server on the same VM, so that a restarted node need not wait
+    # for its next heartbeat; empty until the first heartbeat.
+    endpoint: decoding.Text = ""
+    service: decoding.Text = ""
+    health_path: decoding.Token = ""
+    slots: decoding.Count = 0
+    incarnation_ms: decoding.Number = 0
+    sequence: decoding.Number = 0
+
+
+def encode_entry(entry: Entry) -> bytes:
+    """Return the value under which an entry is stored."""
+    return msgspec.json.encode(entry)
+
+
+def decode_entry(content: bytes) -> Entry:
+    """Decode the value of an entry; other writers may have written it.
+
+    Raises
+    ------
+    decoding.DecodingError
+        If the value names no node that can be reached.
+    """
+    return decoding.decode_json(content, Entry)
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -19,6 +19,7 @@
 from clementinekeel.sidecar import chain
 from clementinekeel.sidecar import configuration
 from clementinekeel.sidecar import control
+from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import inbound
 from clementinekeel.sidecar import metrics
 from clementinekeel.sidecar import outbound
@@ -209,7 +210,7 @@
         self._peers.publish_own_status()
         self._registration.refresh()
 
-    def _on_earlier_entry(self, entry: registration.Entry) -> None:
+    def _on_earlier_entry(self, entry: entry_module.Entry) -> None:
         self._backend_verifier.on_earlier_entry(entry, self._backend_address)
 
     def _on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 import random
 
-import msgspec
-
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import decoding
+from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
 from clementinekeel.store import metadata
@@ -30,23 +30,6 @@
 """A node is listed again within two seconds after an outage of the store."""
 
 
-class Entry(msgspec.Struct):
-    """Entry of a node in the store."""
-
-    host: str
-    port: int
-    zone: str
-    region: str
-    # The backend server on the same VM, so that a restarted node need not wait
-    # for its next heartbeat; empty until the first heartbeat.
-    endpoint: str = ""
-    service: str = ""
-    health_path: str = ""
-    slots: int = 0
-    incarnation_ms: int = 0
-    sequence: int = 0
-
-
 class Backoff:
     """Delays that double, each drawn from the upper half of its range."""
 
@@ -85,7 +68,7 @@
         decisions: decision_log.DecisionLog,
         latest_heartbeat: Callable[[], heartbeats.Heartbeat | None],
         health_path: Callable[[str], str],
-        on_earlier_entry: Callable[[Entry], None],
+        on_earlier_entry: Callable[[entry_module.Entry], None],
     ) -> None:
         self._key = KEY_PREFIX + settings.node
         self._lease_ms = max(LEASE_MS, settings.lease_min_ms)
@@ -93,7 +76,7 @@
         self._latest_heartbeat = latest_heartbeat
         self._health_path = health_path
         self._on_earlier_entry = on_earlier_entry
-        self._written_entry: Entry | None = None
+        self._written_entry: entry_module.Entry | None = None
         self._has_started = False
         self._store = store
         self._peers = peers
@@ -232,7 +215,7 @@
         self._doubtful_lease = self._lease
         self._revision = await self._store.write(
             self._key,
-            msgspec.json.encode(entry),
+            entry_module.encode_entry(entry),
             self._lease,
             expected_revision,
             self._epoch,
@@ -245,9 +228,9 @@
             "entry_written", False, key=self._key, endpoint=entry.endpoint
         )
 
-    def _build_entry(self) -> Entry:
+    def _build_entry(self) -> entry_module.Entry:
         settings = self._settings
-        entry = Entry(
+        entry = entry_module.Entry(
             settings.peers.host,
             settings.peers.port,
             settings.zone,
@@ -264,7 +247,7 @@
             entry.health_path = self._health_path(heartbeat.service)
         return entry
 
-    def _is_current(self, written: Entry) -> bool:
+    def _is_current(self, written: entry_module.Entry) -> bool:
         """Tell whether an entry is up to date, its sequence number aside."""
         entry = self._build_entry()
         if not entry.endpoint:
@@ -274,16 +257,14 @@
         entry.sequence = written.sequence
         return entry == written
 
-    def _decode_earlier(self, item: metadata.Item | None) -> Entry | None:
+    def _decode_earlier(
+        self, item: metadata.Item | None
+    ) -> entry_module.Entry | None:
         """Return the entry of an earlier process at this node's address."""
         if item is None:
             return None
-        try:
-            entry = msgspec.json.decode(item.value, type=Entry)
-        except msgspec.DecodeError as error:
-            self._decisions.write(
-                "entry_malformed", False, key=item.key, reason=str(error)
-            )
+        entry = self._decode(item)
+        if entry is None:
             return None
         own = (self._settings.peers.host, self._settings.peers.port)
         return entry if (entry.host, entry.port) == own else None
@@ -318,17 +299,22 @@
             else:
                 self._peers.mark_unlisted(node)
             return
-        try:
-            entry = msgspec.json.decode(event.value, type=Entry)
-        except msgspec.DecodeError as error:
-            self._decisions.write(
-                "entry_malformed", False, key=event.key, reason=str(error)
-            )
+        entry = self._decode(event)
+        if entry is None:
             return
         self._peers.add_or_update(
             node, entry.host, entry.port, entry.zone, entry.region, True
         )
 
+    def _decode(self, item: metadata.Item) -> entry_module.Entry | None:
+        try:
+            return entry_module.decode_entry(item.value)
+        except decoding.DecodingError as error:
+            self._decisions.write(
+                "entry_malformed", False, key=item.key, reason=str(error)
+            )
+            return None
+
     def _on_entry_lost(self) -> None:
         if self._is_listed:
             self._decisions.write("entry_lost", False, key=self._key)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,6 +7,7 @@
 
 from clementinekeel.platform import configuration
 from clementinekeel.routing import table
+from tests.sidecar import odd_content
 
 ROUTE = {
     "name": "r1",
@@ -100,6 +101,11 @@
         {"service": None},
         {"timeout_s": "long"},
         {"max_attempts": None},
+        {"timeout_s": 1e308},
+        {"slo_s": 1e308},
+        {"max_attempts": 10**30},
+        {"priority": -1},
+        {"traffic_split": [{"service": "s", "weight": 10**30}]},
     ],
 )
 def test_faulty_route_is_an_error(changed_fields):
@@ -107,7 +113,20 @@
 
 
 @pytest.mark.parametrize(
-    "content", [b"", b"{", b"[]", encode_configuration(version="zz")]
+    "content",
+    [
+        b"",
+        b"{",
+        b"[]",
+        encode_configuration(version="zz"),
+        b'{"unknown":' + odd_content.NESTED,
+        b'{"routes":{"columns":[],"rows":[' + odd_content.NESTED,
+        odd_content.with_field(
+            json.loads(encode_configuration(ROUTE)),
+            "limits.idle_timeout_s",
+            1e308,
+        ),
+    ],
 )
 def test_malformed_configuration_is_an_error(content):
     """An error leaves the last configuration in force."""
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -7,6 +7,7 @@
 
 from clementinekeel.membership import heartbeats
 from clementinekeel.platform import heartbeats as platform_heartbeats
+from tests.sidecar import odd_content
 
 BODY = {
     "address": "10.0.0.1:80",
@@ -61,6 +62,20 @@
         body_with(["info", "concurrency"], 0),
         body_with(["info", "service"], 7),
         body_with(["born"], "soon"),
+        *(
+            odd_content.with_field(BODY, name, value)
+            for name, value in (
+                ("unknown", odd_content.NESTED),
+                ("info.unknown", odd_content.NESTED),
+                ("status.seq", odd_content.HUGE.encode()),
+                ("status.seq", -1),
+                ("status.cold_left_s", 1e308),
+                ("info.concurrency", odd_content.HUGE.encode()),
+                ("born", odd_content.HUGE.encode()),
+                ("born", -1),
+                ("address", "a" * 5_000),
+            )
+        ),
     ],
 )
 def test_faulty_heartbeat_is_an_error(body):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 from clementinekeel.backends import http1
 from clementinekeel.platform import store as store_module
 from clementinekeel.store import metadata
+from tests.sidecar import odd_content
 
 
 class Connections:
@@ -23,6 +24,30 @@
         return http1.Answer(200, b"OK", [], encoded)
 
 
+class StoreAnswer(Connections):
+    """Answers each call with the same content."""
+
+    async def call(self, step, method, target, body, timeout_s, epoch):
+        return http1.Answer(200, b"OK", [], self.answers[0])
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        b'{"events":[],"at_rev":1,"unknown":' + odd_content.NESTED,
+        b'{"events":[{"key":"k","revision":1,"value":"!"}],"at_rev":1}',
+        b'{"events":[{"key":"k","revision":1,"value":"YQ"}],"at_rev":1}',
+    ],
+    ids=["nested", "no_base64", "no_padding"],
+)
+def test_odd_answer_of_the_store_is_an_error(content):
+    """Another kind of error would end the task that follows the store."""
+    store = store_module.PlatformStore(StoreAnswer(content))
+    with pytest.raises(metadata.MetadataError) as caught:
+        asyncio.run(store.watch("k", 1, 1))
+    assert caught.value.kind is metadata.FailureKind.MALFORMED
+
+
 def page(names, has_more):
     items = [{"key": name, "revision": 1} for name in names]
     return {"items": items, "has_more": has_more, "at_rev": 5}
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -2,15 +2,17 @@
 
 import asyncio
 
-import msgspec
 import pytest
 
+from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import registration
 from clementinekeel.store import metadata
 from tests import memory_loop
 from tests.sidecar import harness
+from tests.sidecar import odd_content
 
 K = metadata.FailureKind
+ENTRY = {"host": "n2", "port": 5, "zone": "z1", "region": "r1"}
 
 
 class MemoryStore:
@@ -124,7 +126,7 @@
 
 
 def entry(name):
-    return msgspec.json.encode(registration.Entry(name, 5, "z1", "r1"))
+    return entry_module.encode_entry(entry_module.Entry(name, 5, "z1", "r1"))
 
 
 def register(member, store, on_earlier=lambda entry: None):
@@ -270,6 +272,28 @@
     run_registered(scenario)
 
 
+@pytest.mark.parametrize("is_read_in_full", [False, True])
+def test_nodes_are_followed_beside_an_entry_that_nests_too_deeply(
+    is_read_in_full,
+):
+    """Such an entry ended the process of each node that read the list."""
+
+    async def scenario(store, own_registration, member):
+        if is_read_in_full:
+            store.fail(K.COMPACTED)
+        odd = odd_content.with_field(ENTRY, "unknown", odd_content.NESTED)
+        store.put("nodes/n0", odd)
+        store.put("nodes/n2", entry("n2"))
+        store.failure = None
+        await harness.settle(3)
+        store.put("nodes/n3", entry("n3"))
+        await harness.settle(2)
+        assert {p.node for p in member.peers.known} == {"n1", "n2", "n3"}
+        assert "entry_malformed" in [name for name, _ in member.log.events]
+
+    run_registered(scenario)
+
+
 async def return_from_copy(store, copied, *writes):
     """Let the store be away and return, with writes before any other call."""
     store.fail(K.UNANSWERED)
