Log the ends of backend servers and the requests that ran there

Attempts of the same request have identifiers of their own, so that logs could not tell that one request was at work at each end of a backend server, nor that a backend server had ended at all.

A request has a fingerprint of its method, host, path, body and calling service, which goes with its offers and into job_ended. When a run fails, the address of the backend server is checked once: a refused connection means that its process has ended (backend_ended). Links have protocol version 4. No decision is changed; nothing is refused by this.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -13,7 +13,7 @@
 
 from clementinekeel.runtime import errors
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 HEADER_BYTES = 5
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Larger frames are a fault of the sender; a configuration has 1 MiB."""
@@ -150,6 +150,8 @@
         Whether the request is idempotent.
     is_head : bool
         Whether the answer has no body.
+    fingerprint : int
+        Equal for requests that only differ in their identifier.
     head : bytes
         Request line and headers, without the empty line at the end.
     body : bytes
@@ -169,6 +171,7 @@
     is_retry: bool
     is_idempotent: bool
     is_head: bool
+    fingerprint: int
     head: bytes
     body: bytes
     body_bytes: int
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -175,6 +175,7 @@
             exchange.is_retry,
             route.is_idempotent,
             exchange.is_head,
+            exchange.fingerprint,
             exchange.head,
             body[: frames.PART_BYTES],
             len(body),
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -17,6 +17,8 @@
     ----------
     expires_at : float
         When the caller stops waiting, in seconds of the runtime's clock.
+    fingerprint : int
+        Equal for requests that only differ in their identifier.
     peer : Peer or None
         Node to which the request is offered now.
     stream : int
@@ -64,6 +66,7 @@
         self.head = b""
         self.body = b""
         self.is_head = False
+        self.fingerprint = 0
         self.started_at = 0.0
         self.expires_at = 0.0
         self.has_ended = False
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from clementinekeel.admission import slot_queue
 from clementinekeel.backends import http1
@@ -17,6 +17,7 @@
 from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import backend_statements
+from clementinekeel.sidecar import crash_detection
 from clementinekeel.sidecar import job as job_module
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
@@ -49,6 +50,8 @@
 QUICK_FAILURE_PAUSE_S = 0.3
 """Time for which the backend server counts as down after quick failures;
 short, since only some of its requests may fail."""
+MAX_LOGGED_FINGERPRINTS = 16
+"""Those of the last requests to fail are logged."""
 UNREACHABLE_PAUSE_S = 1.0
 """Time for which a backend server that can't be reached gets no requests,
 unless its next heartbeat arrives sooner."""
@@ -106,6 +109,9 @@
                 settings.memory_mb * settings_module.MIB * ANSWER_MEMORY_SHARE
             ),
         )
+        self._crashes = crash_detection.CrashDetector(
+            self._pool, self._on_crash
+        )
         self._heartbeats = heartbeats.HeartbeatRecord()
         self._queue = slot_queue.SlotQueue()
         self._statements = backend_statements.BackendStatements(
@@ -204,6 +210,7 @@
             self._pool.close_idle()
             self._apply(self._queue.refuse_all("replaced"))
             self._statements.begin_incarnation()
+            self._crashes.begin_incarnation()
             self._apply_limit()
         self._apply(self._queue.resize(_usable_slots(heartbeat.slots), now))
         self._refuse_waiting_if_leaving()
@@ -389,7 +396,8 @@
         else:
             self._send(job, connection)
 
-    def _on_unreachable(self, job: job_module.Job, error: Exception) -> None:
+    def _on_unreachable(self, job: job_module.Job, error: OSError) -> None:
+        self._crashes.on_connection_failed(error)
         self._mark_down(type(error).__name__, UNREACHABLE_PAUSE_S)
         if not job.has_ended:
             self._give_up_connecting(job, "backend_unreachable")
@@ -505,6 +513,7 @@
         failure: http1.Failure,
         connection: http1.HttpConnection | None,
     ) -> None:
+        self._crashes.on_run_failed(job.offer.fingerprint)
         age_s = self._loop.time() - job.sent_at
         was_stale = (
             connection is not None
@@ -521,6 +530,20 @@
         self._count_quick_failure(age_s, failure.has_partial_answer)
         self._fail(job, failure.reason)
 
+    def _on_crash(self, fingerprints: Iterable[int]) -> None:
+        heartbeat = self._heartbeats.latest
+        if heartbeat is None:
+            return
+        names = [f"{fingerprint:016x}" for fingerprint in fingerprints]
+        self._decisions.write(
+            "backend_ended",
+            False,
+            endpoint=heartbeat.endpoint,
+            started_ms=heartbeat.incarnation_ms,
+            running=len(names),
+            fingerprints=",".join(names[-MAX_LOGGED_FINGERPRINTS:]),
+        )
+
     def _try_consume_resend(self, job: job_module.Job) -> bool:
         """Tell whether a request may be sent again, and use the budget."""
         if not job.offer.is_idempotent or job.is_resent:
@@ -661,6 +684,7 @@
             outcome=name,
             reason=reason,
             rank=job.offer.rank,
+            fingerprint=f"{job.offer.fingerprint:016x}",
             is_retry=job.offer.is_retry,
             is_resent=job.is_resent,
             waited_ms=round(wait_ms),
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -10,6 +10,7 @@
 import random
 from typing import Any
 
+from clementinekeel.admission import fingerprint
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.callers import http1
 from clementinekeel.nodes import frames
@@ -226,9 +227,13 @@
         head += b"".join(kept_headers)
         if body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             head += b"content-length: %d\r\n" % len(body)
+        service = self.service.encode()
         exchange.head = head + b"%s: %s\r\n" % (
             dialect.calling_service,
-            self.service.encode(),
+            service,
+        )
+        exchange.fingerprint = fingerprint.fingerprint(
+            request.method, host, request.target, service, body
         )
         timeout_ms = route.timeout_ms
         if deadline.isdigit():
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -152,8 +152,19 @@
         self.connections = []
         self.closed = []
         self.behave = behave or (lambda c, h, i: c.answer(i))
-        loop = asyncio.get_running_loop()
-        loop.listeners[(host, 1)] = lambda: BackendConnection(self)
+        self.address = (host, 1)
+        self.loop = asyncio.get_running_loop()
+        self.start()
+
+    def start(self):
+        self.loop.listeners[self.address] = lambda: BackendConnection(self)
+
+    def end(self):
+        """End like a process: connections are reset, new ones are refused."""
+        self.loop.listeners.pop(self.address, None)
+        for connection in self.connections:
+            connection.transport.abort()
+        self.connections.clear()
 
     def on_request(self, connection, head, headers, body):
         self.requests.append((head, headers, body))
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -38,6 +38,7 @@
         "is_retry": False,
         "is_idempotent": True,
         "is_head": False,
+        "fingerprint": 7,
         "head": b"GET / HTTP/1.1\r\nid: r%d\r\n" % stream,
         "body": b"",
         "body_bytes": 0,
