Refuse requests that crash the backend servers that run them

Cause: nothing counts crashes of a request. An attempt is bounded, but each attempt of any caller is a new one at every node.

The nodes beside the endpoints of a service count, for each fingerprint, the backend servers that ended while it ran. After three without an answer in between it is refused as not run, for 10 to 20 minutes; then it runs once, and the time doubles if another one ends. An answer clears it. A request that was answered lately needs five, since one that many callers send runs wherever another one crashes. Reports go to the nodes of the same service only, on a crash, and again on each new link.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -22,6 +22,11 @@
 the frames of other requests on the same link."""
 
 
+QUARANTINED = "quarantined"
+"""Reason of a refusal that holds at all endpoints: the request has crashed
+several of them."""
+
+
 class FrameError(errors.StepError):
     """A frame is malformed, oversized or of an unknown kind."""
 
@@ -123,6 +128,28 @@
     is_leaving: bool
 
 
+class CrashReport(NamedTuple):
+    """A backend server has ended while requests ran there.
+
+    Attributes
+    ----------
+    endpoint, started_ms : str, int
+        Incarnation of the backend server, as in ``EndpointStatus``.
+    fingerprints : tuple of int
+        Requests that ran, as in ``Offer``.
+    """
+
+    endpoint: str
+    started_ms: int
+    fingerprints: tuple[int, ...]
+
+
+class SuspectAnswered(NamedTuple):
+    """A request that ran when a backend server ended has been answered."""
+
+    fingerprint: int
+
+
 class Offer(NamedTuple):
     """A request for the receiver's backend server.
 
@@ -290,6 +317,8 @@
     Hello
     | EndpointStatus
     | EarlierStatement
+    | CrashReport
+    | SuspectAnswered
     | Offer
     | OfferPart
     | Answer
@@ -318,6 +347,8 @@
     Configuration,
     ConfigurationRequest,
     EarlierStatement,
+    CrashReport,
+    SuspectAnswered,
 )
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/src/clementinekeel/sidecar/crash_detection.py
+++ b/src/clementinekeel/sidecar/crash_detection.py
@@ -1,7 +1,7 @@
 """Detects that the backend server has ended while requests ran there."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from clementinekeel.backends import local
 
@@ -27,7 +27,7 @@
     def __init__(
         self,
         pool: local.LocalPool,
-        on_crash: Callable[[Iterable[int]], None],
+        on_crash: Callable[[tuple[int, ...]], None],
     ) -> None:
         self._pool = pool
         self._on_crash = on_crash
@@ -70,7 +70,7 @@
     def _report(self) -> None:
         """Report the recent failures; the oldest are first."""
         since = self._loop.time() - FAILURE_WINDOW_S
-        recent = [f for f, at in self._failed_runs.items() if at >= since]
+        recent = tuple(f for f, at in self._failed_runs.items() if at >= since)
         self._failed_runs.clear()
         if recent:
             self._on_crash(recent)
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -106,6 +106,10 @@
         exchange.retry_after_ms = (
             min(shortest_ms, hint_ms) if shortest_ms else hint_ms
         )
+        if refusal.reason == frames.QUARANTINED:
+            exchange.retry_after_ms = hint_ms
+            self._give_up(exchange, refusal.reason)
+            return
         self.offer(exchange)
 
     def on_failure(
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -6,18 +6,20 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from clementinekeel.admission import slot_queue
 from clementinekeel.backends import http1
 from clementinekeel.backends import local
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
+from clementinekeel.membership import statements
 from clementinekeel.nodes import frames
 from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import backend_statements
 from clementinekeel.sidecar import crash_detection
+from clementinekeel.sidecar import crash_reports as crash_reports_module
 from clementinekeel.sidecar import job as job_module
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
@@ -83,6 +85,8 @@
         Called when the state that other nodes see may have changed.
     count_nodes : callable
         Returns the number of known nodes, 0 before their list was read.
+    crash_reports : CrashReports
+        Tells which requests crash the endpoints of the service.
     """
 
     def __init__(
@@ -93,8 +97,10 @@
         on_status_change: Callable[[], None],
         metrics: metrics_module.NodeMetrics,
         count_nodes: Callable[[], int],
+        crash_reports: crash_reports_module.CrashReports,
     ) -> None:
         self._metrics = metrics
+        self._crash_reports = crash_reports
         self._settings = settings
         self._dialect = dialect
         self._decisions = decisions
@@ -321,6 +327,8 @@
             self._refuse(job, "leaving")
         elif heartbeat.endpoint != job.offer.endpoint:
             self._refuse(job, "other_endpoint")
+        elif self._crash_reports.refusal_s(job.offer.fingerprint):
+            self._refuse(job, frames.QUARANTINED)
         else:
             self._last_number += 1
             job.number = self._last_number
@@ -360,6 +368,11 @@
         self._apply(self._queue.start_waiting(self._loop.time()))
 
     def _start(self, job: job_module.Job) -> None:
+        if self._crash_reports.refusal_s(job.offer.fingerprint):
+            # It was reported while the request waited.
+            self._end(job, frames.QUARANTINED, frames.QUARANTINED)
+            return
+        self._crash_reports.on_start(job.offer.fingerprint)
         job.started_at = self._loop.time()
         if not job.offer.is_retry:
             self._resend_budgets.on_request(
@@ -457,6 +470,7 @@
         elif any(n == self._dialect.not_run for n, _ in outcome.headers):
             self._end(job, "backend_refused", "backend_refused")
         else:
+            self._crash_reports.on_answer(job.offer.fingerprint)
             self._answer(job, outcome)
 
     def _observe(self, job: job_module.Job, answer: http1.Answer) -> None:
@@ -530,10 +544,16 @@
         self._count_quick_failure(age_s, failure.has_partial_answer)
         self._fail(job, failure.reason)
 
-    def _on_crash(self, fingerprints: Iterable[int]) -> None:
+    def _on_crash(self, fingerprints: tuple[int, ...]) -> None:
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
             return
+        self._crash_reports.on_crash(
+            statements.Incarnation(
+                heartbeat.endpoint, heartbeat.incarnation_ms
+            ),
+            fingerprints,
+        )
         names = [f"{fingerprint:016x}" for fingerprint in fingerprints]
         self._decisions.write(
             "backend_ended",
@@ -623,11 +643,15 @@
             self._fail(job, "backend_silent")
 
     def _refuse(self, job: job_module.Job, reason: str) -> None:
+        retry_after_ms = self._queue.retry_after_ms
+        if reason == frames.QUARANTINED:
+            refusal_s = self._crash_reports.refusal_s(job.offer.fingerprint)
+            retry_after_ms = refusal_s * 1000
         job.sender.send(
             frames.Refusal(
                 job.offer.stream,
                 reason,
-                round(self._queue.retry_after_ms),
+                round(retry_after_ms),
                 self._queue.running,
                 self._queue.queued,
             )
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -84,6 +84,7 @@
             self._on_status_change,
             self._metrics,
             lambda: self._peers.node_count,
+            self._peers.crash_reports,
         )
         self._chain = chain.ChainPolicy(
             settings,
@@ -279,6 +280,10 @@
         for route, share in self._chain.admitted_shares.items():
             yield sample("admitted_share", share, route=route)
         yield from self._chain.retry_samples
+        reports = self._peers.crash_reports
+        yield sample("backend_crashes", reports.crashes)
+        yield sample("suspected_requests", reports.suspects)
+        yield sample("quarantined_requests", reports.quarantined)
         yield sample("listed", float(self._registration.is_listed))
         yield sample("store_epoch", self._store_connections.epoch)
         yield sample("store_calls", self._store_connections.calls)
--- a/src/clementinekeel/sidecar/peer.py
+++ b/src/clementinekeel/sidecar/peer.py
@@ -66,6 +66,8 @@
         Link that this node opened, also before the hello.
     exchanges : dict
         Exchanges that wait for a result, by stream.
+    has_crash_reports : bool
+        Whether the node was told of all crashes since the link was made.
     is_listed : bool
         Whether the node has an entry in the store.
     reported_load : int
@@ -88,6 +90,7 @@
         self.unreachable_since: float | None = None
         self.dialed_link: link_module.Link | None = None
         self.is_dialing = False
+        self.has_crash_reports = False
         self.next_dial_at = 0.0
         self.backoff_s = MIN_BACKOFF_S
         self.reported_load = 0
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -10,6 +10,7 @@
 from clementinekeel.nodes import link as link_module
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import crash_reports
 from clementinekeel.sidecar import inbound
 from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import settings as settings_module
@@ -58,6 +59,9 @@
         self._inbound_proxy: inbound.InboundProxy | None = None
         self.outbound_proxy: Any = None
         self._has_node_list = False
+        self.crash_reports = crash_reports.CrashReports(
+            self._links_of_own_service, decisions
+        )
         self.versions = versions.VersionExchange(
             self._links, self._distance, decisions
         )
@@ -311,6 +315,7 @@
         if peer.link is link:
             peer.link = None
         peer.is_dialing = False
+        peer.has_crash_reports = False
         peer.dialed_link = None
         peer.next_dial_at = (
             now + peer_module.MIN_BACKOFF_S * self._random.random()
@@ -370,6 +375,8 @@
         inbound_proxy = self._inbound_proxy
         if inbound_proxy is None or self.versions.on_frame(link, frame):
             return
+        if self.crash_reports.on_frame(link, frame):
+            return
         if isinstance(frame, frames.Offer):
             inbound_proxy.offer(link, frame)
         elif isinstance(frame, frames.Cancel):
@@ -411,6 +418,24 @@
             if peer.link is not None:
                 yield peer.link
 
+    def _links_of_own_service(self) -> Iterator[link_module.Link]:
+        """Yield links to the nodes beside other endpoints of the service."""
+        own = self._peers[self._settings.node].status
+        if own is None:
+            return
+        for peer in self._by_service.get(own.service, ()):
+            if peer.link is not None:
+                yield peer.link
+
+    def _report_crashes(self, peer: peer_module.Peer) -> None:
+        """Tell a node of the same service about crashes, once a link."""
+        own = self._peers[self._settings.node].status
+        if peer.has_crash_reports or peer.link is None or own is None:
+            return
+        if peer.status is not None and peer.status.service == own.service:
+            peer.has_crash_reports = True
+            self.crash_reports.send_all(peer.link)
+
     def _distance(self, link: link_module.Link) -> int:
         hello = link.peer
         if hello is None:
@@ -473,6 +498,7 @@
             before = None
         if before is None:
             self._by_service.setdefault(status.service, []).append(peer)
+        self._report_crashes(peer)
 
     def _remove(self, peer: peer_module.Peer, reason: str) -> None:
         self._decisions.write(
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -199,6 +199,7 @@
             self.peers.publish_own_status,
             self.metrics,
             lambda: self.peers.node_count,
+            self.peers.crash_reports,
         )
         self.chain = chain.ChainPolicy(
             self.settings,
