Don't send a refused request on the same connection again

Cause: after a refusal, a request may be offered to the same backend server again, and the connection used last is reused first. A copy of the refusal names the identifier of the request that now runs, so that it can't be told from its answer.

A connection remembers the requests that were refused on it, 32 at most, and they are sent on another one; the copy then ends the idle connection, or is skipped for naming another request.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -39,6 +39,8 @@
 The server counts from the time when it sent its answer. If it closes the
 connection while a request is on the way, the request may have run.
 """
+MAX_REFUSED_REQUESTS = 32
+"""Refused requests that a connection remembers; then it is replaced."""
 DEFAULT_KEEP_ALIVE_MS = 4_000
 """For servers that state no time; common servers close after five seconds."""
 
@@ -109,6 +111,7 @@
         self._on_outcome: Callable[[Outcome], None] | None = None
         self._outcome: Outcome | None = None
         self._request_id = b""
+        self._refused_ids: set[bytes] = set()
         self._is_head = False
         self._must_close = False
         self._is_mismatched = False
@@ -136,6 +139,20 @@
         idle_ms = (self._loop.time() - self.idle_since) * 1000
         return idle_ms < self._keep_alive_ms * KEEP_ALIVE_SHARE
 
+    def may_send(self, request_id: bytes) -> bool:
+        """Tell whether a request may be sent on this connection.
+
+        A request that the server has refused here may not: a copy of the
+        refusal could not be told from the answer to the second attempt.
+        """
+        return request_id not in self._refused_ids
+
+    def note_refusal(self) -> None:
+        """Note that the last answer said that its request did not run."""
+        self._refused_ids.add(self._request_id)
+        if len(self._refused_ids) >= MAX_REFUSED_REQUESTS:
+            self._must_close = True
+
     def send(
         self,
         head: bytes,
--- a/src/clementinekeel/backends/local.py
+++ b/src/clementinekeel/backends/local.py
@@ -81,15 +81,21 @@
         self._idle: list[http1.HttpConnection] = []
         self._loop = asyncio.get_running_loop()
 
-    def acquire_idle(self, is_idempotent: bool) -> http1.HttpConnection | None:
+    def acquire_idle(
+        self, is_idempotent: bool, request_id: bytes
+    ) -> http1.HttpConnection | None:
         """Remove and return a reusable idle connection, or return None.
 
         Parameters
         ----------
         is_idempotent : bool
             Whether the request to be sent is idempotent.
+        request_id : bytes
+            Its identifier.
         """
-        while self._idle:
+        passed_over: list[http1.HttpConnection] = []
+        found = None
+        while found is None and self._idle:
             connection = self._idle.pop()
             if not connection.is_reusable:
                 connection.close()
@@ -98,9 +104,13 @@
             if not is_idempotent and idle_s > MAX_NON_IDEMPOTENT_IDLE_S:
                 # All others have been idle for even longer.
                 self._idle.append(connection)
-                return None
-            return connection
-        return None
+                break
+            if connection.may_send(request_id):
+                found = connection
+            else:
+                passed_over.append(connection)
+        self._idle.extend(reversed(passed_over))
+        return found
 
     async def connect(self) -> http1.HttpConnection:
         """Open a connection.
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -378,7 +378,9 @@
             self._resend_budgets.on_request(
                 self._settings.service, job.started_at, job.offer.rank == 0
             )
-        connection = self._pool.acquire_idle(job.offer.is_idempotent)
+        connection = self._pool.acquire_idle(
+            job.offer.is_idempotent, job.offer.request_id.encode()
+        )
         if connection is not None:
             self._send(job, connection)
             return
@@ -456,7 +458,12 @@
 
     def _on_outcome(self, job: job_module.Job, outcome: http1.Outcome) -> None:
         connection, job.connection = job.connection, None
+        is_refused = isinstance(outcome, http1.Answer) and any(
+            name == self._dialect.not_run for name, _ in outcome.headers
+        )
         if connection is not None:
+            if is_refused:
+                connection.note_refusal()
             if isinstance(outcome, http1.Answer):
                 self._pool.release(connection)
             else:
@@ -467,7 +474,7 @@
             return
         if isinstance(outcome, http1.Failure):
             self._on_failure(job, outcome, connection)
-        elif any(n == self._dialect.not_run for n, _ in outcome.headers):
+        elif is_refused:
             self._end(job, "backend_refused", "backend_refused")
         else:
             self._crash_reports.on_answer(job.offer.fingerprint)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -201,6 +201,54 @@
     )
 
 
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_repeated_refusal_is_not_taken_for_the_next_answer(is_idempotent):
+    """A faulty backend server sends a refusal again while the request runs.
+
+    The caller was told that a running request had not run.
+    """
+
+    async def scenario(member, server, sender):
+        for stream in (1, 2):
+            member.inbound_proxy.offer(
+                sender,
+                offer(1, is_idempotent=is_idempotent)._replace(stream=stream),
+            )
+            await harness.settle(0.01)
+        server.connections[0].answer(b"r1", 503, b"Not-Run: 1\r\n")
+        await harness.settle()
+        assert [type(f) for f in sender.frames] == [
+            frames.Refusal,
+            frames.Answer,
+        ]
+        # The connection with the surplus answer is not used any more.
+        assert len(server.requests) == 2
+
+    def refuse_first(connection, headers, request_id):
+        if len(connection.server.requests) == 1:
+            connection.answer(request_id, 503, b"Not-Run: 1\r\n")
+        else:
+            asyncio.get_running_loop().call_later(
+                0.02, connection.answer, request_id
+            )
+
+    run_with_proxy(scenario, refuse_first)
+
+
+def test_other_requests_use_the_connection_of_a_refused_one():
+    """New connections cost a backend server that is short of slots more."""
+
+    async def scenario(member, server, sender):
+        for stream in range(1, 20):
+            member.inbound_proxy.offer(sender, offer(stream))
+            await harness.settle(0.01)
+        assert len(server.connections) == 1
+
+    run_with_proxy(
+        scenario, lambda c, h, i: c.answer(i, 503, b"Not-Run: 1\r\n")
+    )
+
+
 def test_idempotent_request_is_cancelled_with_its_connection():
     """Otherwise the backend server works for a caller that has left."""
 
