Test answers that end within their head, and nodes that end midway

Reported for other systems: callers got an empty or short 200 that looked whole after an endpoint had stopped within its answer's head. It does not happen here: five kinds of heads, cut at every byte and closed or reset, are failures, and so is an answer in parts whose node ends after none, one or two of them. All cases passed on the code as it was.

--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -119,6 +119,26 @@
     assert not reusable
 
 
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        OK + b"Content-Length: 4\r\n\r\n",
+        OK + b"Content-Length: 0\r\n\r\n",
+        OK + b"\r\n",
+        CHUNKED,
+        b"HTTP/1.1 100 Continue\r\n\r\n" + OK + b"\r\n",
+    ],
+    ids=["length", "empty", "until_close", "chunked", "interim"],
+)
+def test_answer_that_ends_within_its_head_is_a_failure(head, end):
+    """Callers would get an empty answer that looks whole."""
+    for size in range(len(head)):
+        (outcome,), is_reusable = send_request([head[:size], end])
+        assert isinstance(outcome, http1.Failure), head[:size]
+        assert not is_reusable
+
+
 def test_answer_to_head_has_no_body():
     (outcome,), reusable = send_request(
         [OK + b"Content-Length: 4\r\n\r\n"], is_head=True
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -57,6 +57,36 @@
     run_members(scenario)
 
 
+@pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
+@pytest.mark.parametrize("kept_frames", [0, 1, 2])
+def test_answer_cut_by_the_end_of_a_node_is_not_passed_on(path, kept_frames):
+    """Callers would get a short body that looks whole."""
+
+    async def scenario(members, servers):
+        members[1].inbound_proxy.on_heartbeat(harness.heartbeat("n2"))
+        await harness.settle()
+        body = b"x" * (frames.PART_BYTES * 3)
+        servers[1].behave = lambda c, h, i: c.answer(i, body=body)
+        (link,) = members[1].peers._inbound_links
+        send, sent = link.send, []
+
+        def send_until_the_end(frame):
+            if isinstance(frame, frames.Answer | frames.AnswerPart):
+                sent.append(frame)
+                if len(sent) > kept_frames:
+                    link.close()
+                    return
+            send(frame)
+
+        link.send = send_until_the_end
+        connection, _ = harness.send(members[0], path)
+        await harness.settle(2)
+        ((status, _, answered),) = connection.answers
+        assert (status, answered) == (502, b'{"reason":"link_lost"}')
+
+    run_members(scenario)
+
+
 def test_request_goes_to_another_endpoint_when_one_is_full():
     """A request must not wait while another endpoint has a free slot."""
 
