Hold a request back for a while after its second crash

After the second crash the request is now refused for 5 to 10 s, drawn at each node, and then runs once: an answer clears it, and a crash is its third. By then the endpoints that ended are back.

--- a/src/clementinekeel/admission/quarantine.py
+++ b/src/clementinekeel/admission/quarantine.py
@@ -15,9 +15,13 @@
 from clementinekeel.membership import statements
 
 CRASH_LIMIT = 3
-"""Backend servers that end while a request runs before it is refused. With
-two, requests that are retried after one crash and run beside the cause of the
-next are refused as well."""
+"""Backend servers that end while a request runs before it is refused for long.
+Two are too few: a request that is retried after one crash may run beside the
+cause of the next one."""
+BACKOFF_S = 5.0
+"""Shortest time for which a request is refused after one crash less; then it
+runs once. Copies of it would end the remaining backend servers before its
+third crash is known; those that have ended are back after a few seconds."""
 ANSWERED_CRASH_LIMIT = 5
 """The same for a request that was answered lately. A request that many callers
 send runs at most backend servers at any time, also at those that another
@@ -120,8 +124,7 @@
             runs.add(fingerprint)
             count = self._crash_counts.get(fingerprint, 0) + 1
             self._crash_counts[fingerprint] = count
-            if self._is_refusable(fingerprint, count):
-                self._refuse(fingerprint, now)
+            if self._refuse_if_due(fingerprint, count, now):
                 refused.append(fingerprint)
         while len(self._runs) > MAX_CRASHES:
             self._forget_oldest()
@@ -148,25 +151,35 @@
 
     def on_start(self, fingerprint: int, now: float) -> None:
         """Refuse further runs of a request that runs once for a trial."""
-        if fingerprint in self._refusals:
-            self._refusals[fingerprint] = self._refusals[fingerprint]._replace(
-                until=now + QUARANTINE_S
+        refusal = self._refusals.get(fingerprint)
+        if refusal is not None:
+            self._refusals[fingerprint] = refusal._replace(
+                until=now + refusal.duration_s
             )
 
-    def _is_refusable(self, fingerprint: int, crashes: int) -> bool:
+    def _refuse_if_due(
+        self, fingerprint: int, crashes: int, now: float
+    ) -> bool:
         limit = (
             ANSWERED_CRASH_LIMIT
             if fingerprint in self._answered
             else CRASH_LIMIT
         )
-        return crashes >= limit or fingerprint in self._refusals
-
-    def _refuse(self, fingerprint: int, now: float) -> None:
-        earlier = self._refusals.pop(fingerprint, None)
-        duration_s = QUARANTINE_S
-        if earlier is not None:
+        earlier = self._refusals.get(fingerprint)
+        if earlier is not None and earlier.duration_s >= QUARANTINE_S:
             duration_s = min(MAX_QUARANTINE_S, 2 * earlier.duration_s)
-        elif len(self._refusals) >= MAX_QUARANTINED:
+        elif crashes >= limit:
+            duration_s = QUARANTINE_S
+        elif crashes == limit - 1:
+            duration_s = BACKOFF_S
+        else:
+            return False
+        self._refuse(fingerprint, duration_s, now)
+        return True
+
+    def _refuse(self, fingerprint: int, duration_s: float, now: float) -> None:
+        self._refusals.pop(fingerprint, None)
+        if len(self._refusals) >= MAX_QUARANTINED:
             first = min(self._refusals, key=lambda f: self._refusals[f].until)
             del self._refusals[first]
         until = now + duration_s * self._random.uniform(1, 2)
