Bound the numbers in headers before they are converted

A deadline of 5,000 digits raised ValueError in the outbound proxy, and its caller got no answer; a keep-alive time of 400 digits of a backend server raised OverflowError after its answer was read; the number of the store's history had the same limit of 4,300 digits.

Numbers in headers are decoded in one place, up to 15 digits. What is longer is malformed: a deadline or keep-alive time of that kind is ignored, as other malformed ones, and an answer of the store is an error.

Failed before: one case of the deadline, two of the keep-alive time, two of the history's number.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -12,6 +12,7 @@
 import httptools
 
 from clementinekeel.backends import _answer_memory
+from clementinekeel.runtime import decoding
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -330,8 +331,9 @@
     def _read_keep_alive(self, value: bytes) -> None:
         for item in value.split(b","):
             name, _, number = item.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.isdigit():
-                self._keep_alive_ms = int(number) * 1000
+            timeout_s = decoding.decode_number(number.strip())
+            if name.strip().lower() == b"timeout" and timeout_s is not None:
+                self._keep_alive_ms = timeout_s * 1000
 
     def _complete(self, status: int) -> None:
         dropped = HOP_BY_HOP_HEADERS
--- a/src/clementinekeel/runtime/decoding.py
+++ b/src/clementinekeel/runtime/decoding.py
@@ -4,6 +4,7 @@
 succeeds with values within their bounds or fails with ``DecodingError``.
 """
 
+import re
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -34,6 +35,9 @@
 
 T = TypeVar("T")
 
+_DIGITS = re.compile(rb"[0-9]{1,15}")
+"""Digits of a number up to ``MAX_NUMBER``; Python converts at most 4,300."""
+
 
 class DecodingError(ValueError):
     """Content is malformed, or a value is out of its bounds."""
@@ -54,3 +58,11 @@
     except RecursionError as error:
         # Also in a field that the type doesn't have.
         raise DecodingError("nested too deeply") from error
+
+
+def decode_number(text: bytes) -> int | None:
+    """Decode a decimal number in a header; None if it is not one.
+
+    Numbers of more than 15 digits are malformed.
+    """
+    return int(text) if _DIGITS.fullmatch(text) else None
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -16,6 +16,7 @@
 from clementinekeel.nodes import frames
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import decoding
 from clementinekeel.sidecar import chain as chain_module
 from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
@@ -236,8 +237,9 @@
             request.method, host, request.target, service, body
         )
         timeout_ms = route.timeout_ms
-        if deadline.isdigit():
-            timeout_ms = min(timeout_ms, int(deadline))
+        deadline_ms = decoding.decode_number(deadline)
+        if deadline_ms is not None:
+            timeout_ms = min(timeout_ms, deadline_ms)
         exchange.expires_at = exchange.started_at + timeout_ms / 1000
         self._chain.inherit(exchange, route)
         return None
--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -5,6 +5,7 @@
 
 from clementinekeel.backends import http1
 from clementinekeel.nodes import link
+from clementinekeel.runtime import decoding
 from clementinekeel.store import metadata
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,11 +99,11 @@
         values = [v for n, v in answer.headers if n == self._epoch_header]
         if not values:
             return
-        if len(set(values)) > 1 or not values[0].isdigit():
+        epoch = decoding.decode_number(values[0])
+        if len(set(values)) > 1 or epoch is None:
             raise metadata.MetadataError(
                 step, "epoch", metadata.FailureKind.MALFORMED
             )
-        epoch = int(values[0])
         if epoch < self._epoch:
             raise self._counted_error(step, f"answer of history {epoch}")
         if epoch > self._epoch:
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -179,6 +179,18 @@
     assert peak_bytes < 4 * len(chunks)
 
 
+@pytest.mark.parametrize("digits", [16, 400, 5_000])
+def test_keep_alive_time_without_bounds_is_ignored(digits):
+    """The answer was read, and the node failed to use the connection."""
+    script = [
+        OK
+        + b"Keep-Alive: timeout=%s\r\n" % (b"9" * digits)
+        + b"Content-Length: 4\r\n\r\nfine"
+    ]
+    (outcome,), is_reusable = send_request(script)
+    assert (outcome.body, is_reusable) == (b"fine", True)
+
+
 def test_idle_connection_is_left_before_the_server_closes_it():
     """A request sent while the server closes may or may not have run."""
 
--- a/tests/runtime/test_decoding.py
+++ b/tests/runtime/test_decoding.py
@@ -38,3 +38,23 @@
     content = b'{"port":65535,"number":9007199254740991,"duration_s":1e6}'
     decoded = decoding.decode_json(content, Content)
     assert decoded == Content(65_535, 9_007_199_254_740_991, 1e6)
+
+
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        (b"0", 0),
+        (b"5000", 5_000),
+        (b"9" * 15, 999_999_999_999_999),
+        (b"9" * 16, None),
+        (b"9" * 5_000, None),
+        (b"", None),
+        (b"-1", None),
+        (b"1.5", None),
+        (b" 1", None),
+        ("\u0661".encode(), None),
+    ],
+)
+def test_number_in_a_header(text, number):
+    """Python refuses to convert more than 4,300 digits."""
+    assert decoding.decode_number(text) == number
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -87,6 +87,24 @@
     run_members(scenario)
 
 
+@pytest.mark.parametrize(
+    "deadline", [b"9" * 16, b"9" * 5_000, b"-1", b"soon", b"1e3", b""]
+)
+def test_deadline_that_is_no_number_leaves_that_of_the_route(deadline):
+    """Its caller got no answer, and its connection was not closed."""
+
+    async def scenario(members, servers):
+        members[1].inbound_proxy.on_heartbeat(harness.heartbeat("n2"))
+        await harness.settle()
+        connection, _ = harness.send(members[0], deadline=deadline)
+        await harness.settle()
+        assert [status for status, _, _ in connection.answers] == [200]
+        _, headers, _ = servers[1].requests[0]
+        assert 900 <= int(headers[b"deadline"]) <= 1_000
+
+    run_members(scenario)
+
+
 def test_request_goes_to_another_endpoint_when_one_is_full():
     """A request must not wait while another endpoint has a free slot."""
 
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -112,7 +112,9 @@
     run_calls(scenario)
 
 
-@pytest.mark.parametrize("epoch", [b"-1", b"x", b"1.5"])
+@pytest.mark.parametrize(
+    "epoch", [b"-1", b"x", b"1.5", b"9" * 16, b"9" * 5_000]
+)
 def test_malformed_number_of_the_history_is_an_error(epoch):
     async def scenario(connections):
         StoreProtocol.epoch = epoch
