Dial a node again after an address that can't be used

An address or port that is out of range raises ValueError or OverflowError when it is dialed. Only OSError was expected: the node stayed marked as being dialed, and was never dialed again, also after its entry had become right. Entries are checked when they are decoded; a greeting of another node is not.

Two of three cases failed before.

--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -244,7 +244,9 @@
                 _, link = await self._loop.create_connection(
                     make_link, peer.host, peer.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # An address that can't be used raises ValueError, or
+            # OverflowError for its port.
             peer.is_dialing = False
             self._on_dial_failed(peer, error)
             return
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from clementinekeel.nodes import frames
 from clementinekeel.sidecar import settings
 from tests import memory_loop
@@ -61,6 +63,32 @@
     run_with_dialer(scenario)
 
 
+@pytest.mark.parametrize("error", [OverflowError, UnicodeError, OSError])
+def test_node_is_dialed_again_after_an_address_that_can_not_be_used(error):
+    """A node whose entry was odd for a while was never dialed again."""
+
+    async def main():
+        member, other = harness.Member("n1"), harness.Member("n2")
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+
+        async def fail(*_arguments, **_options):
+            raise error("port must be 0-65535")
+
+        loop.create_connection = fail
+        member.add_peer(other)
+        await harness.settle(1)
+        loop.create_connection = create_connection
+        await harness.settle(1)
+        member.tick()
+        await harness.settle(1)
+        (peer,) = [p for p in member.peers.known if p.node == "n2"]
+        assert peer.link is not None
+        assert "node_unreachable" in [event for event, _ in member.log.events]
+
+    memory_loop.run(main)
+
+
 def test_node_with_another_protocol_version_gets_no_link():
     """Offers of an older build lack fields that the node needs."""
 
