Reject heartbeats that name a service nobody knows

A heartbeat of another writer with a service that is in neither the settings nor the configuration replaced the one of the backend server, which then got no requests until its next heartbeat, or none at all if the sequence number was higher than its own.

Such a heartbeat is now answered 400 and logged with the reason 'service'. Before a configuration is known, any service is accepted.

The case of an unknown service failed before.

--- a/src/clementinekeel/sidecar/control.py
+++ b/src/clementinekeel/sidecar/control.py
@@ -10,7 +10,13 @@
 
 
 class ControlServer:
-    """Handles readiness checks of the platform and heartbeats."""
+    """Handles readiness checks of the platform and heartbeats.
+
+    Parameters
+    ----------
+    may_serve : callable
+        Tells whether the backend server may be of a service.
+    """
 
     is_stopping = False
     limits = table.CallerLimits(body_bytes=64 * 1024)
@@ -23,7 +29,9 @@
         is_ready: Callable[[], bool],
         decisions: decision_log.DecisionLog,
         backend_address: str,
+        may_serve: Callable[[str], bool],
     ) -> None:
+        self._may_serve = may_serve
         self._adapter = adapter
         self._on_heartbeat = on_heartbeat
         self._on_leave = on_leave
@@ -63,10 +71,14 @@
     ) -> None:
         decoded = self._adapter.decode_heartbeat(endpoint, body)
         heartbeat: heartbeats.Heartbeat | None = decoded.value_or(None)
-        if heartbeat is None or heartbeat.address != self._backend_address:
-            reason = (
-                "address" if heartbeat is not None else str(decoded.failure())
-            )
+        reason = ""
+        if heartbeat is None:
+            reason = str(decoded.failure())
+        elif heartbeat.address != self._backend_address:
+            reason = "address"
+        elif not self._may_serve(heartbeat.service):
+            reason = "service"
+        if heartbeat is None or reason:
             self._decisions.write(
                 "heartbeat_rejected", False, endpoint=endpoint, reason=reason
             )
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -150,6 +150,7 @@
             lambda: self.is_ready,
             self._decisions,
             self._backend_address,
+            self._outbound_proxy.may_serve,
         )
         servers = [
             await self._listen(settings.peers, self._peers.accept),
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -106,6 +106,16 @@
             return ""
         return self._table.health_paths.get(service, "")
 
+    def may_serve(self, service: str) -> bool:
+        """Tell whether the backend server on this VM may be of a service.
+
+        It is of the service in the settings, or of another one that the
+        configuration names.
+        """
+        if service == self.service or self._table is None:
+            return True
+        return service in self._table.health_paths
+
     def activate(self, routing_table: table.RoutingTable) -> bool:
         """Put a configuration in force if it is newer; tell whether it was."""
         if routing_table.version <= self.version:
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -84,8 +84,9 @@
         self.task = asyncio.ensure_future(self.node.run())
         await harness.settle(0.2)
 
-    async def heartbeat(self, sequence=1, state="ready"):
-        body = json.dumps({"sequence": sequence, "state": state}).encode()
+    async def heartbeat(self, sequence=1, state="ready", **fields):
+        fields = {"sequence": sequence, "state": state, **fields}
+        body = json.dumps(fields).encode()
         head = b"PUT /endpoints/e-n1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
         return await call(self.settings.heartbeats, head % len(body) + body)
 
@@ -154,6 +155,27 @@
     assert b"heartbeat_rejected" in run_node(scenario)
 
 
+@pytest.mark.parametrize(
+    ("service", "status"), [("s", 200), ("s2", 200), ("unknown", 400)]
+)
+def test_heartbeat_of_an_unknown_service_changes_nothing(
+    run_node, service, status
+):
+    """Another writer's heartbeat took the endpoint out of its service."""
+
+    async def scenario(environment):
+        assert (await environment.heartbeat()).status == 200
+        await harness.settle(0.1)
+        outbound_proxy = environment.node._outbound_proxy
+        outbound_proxy._table.health_paths["s2"] = "/health"
+        answer = await environment.heartbeat(2, service=service)
+        assert answer.status == status
+        latest = environment.node._inbound_proxy.latest_heartbeat
+        assert latest.service == (service if status == 200 else "s")
+
+    run_node(scenario)
+
+
 def test_planned_stop_answers_accepted_requests(run_node):
     """Callers send requests until they see that the node is not ready."""
 
