Keep refused requests in the entries of the nodes

A node's entry in the store lists the requests that it refuses for long, 64 at most, and a restarted node refuses them from its start. The entry is written when the list changes; short refusals are not in it.

test_restarted_node_refuses_what_its_earlier_process_refused covers it.

--- a/src/clementinekeel/admission/fingerprint.py
+++ b/src/clementinekeel/admission/fingerprint.py
@@ -5,11 +5,27 @@
 """
 
 import hashlib
+from typing import Annotated
+
+import msgspec
 
 FINGERPRINT_BYTES = 8
 """Few requests are compared at a time, and other callers' fingerprints can't
 be matched on purpose with less than 2**64 attempts."""
 
+EncodedFingerprint = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{16}$")]
+"""Fingerprint in text, since JSON has no integers of that size."""
+
+
+def encode_fingerprint(fingerprint: int) -> str:
+    """Return the text of a fingerprint, for logs and stored values."""
+    return f"{fingerprint:016x}"
+
+
+def decode_fingerprint(text: str) -> int:
+    """Return the fingerprint of a text."""
+    return int(text, 16)
+
 
 def fingerprint(
     method: bytes,
--- a/src/clementinekeel/admission/quarantine.py
+++ b/src/clementinekeel/admission/quarantine.py
@@ -92,6 +92,15 @@
         """Number of requests that are refused."""
         return len(self._refusals)
 
+    @property
+    def lasting(self) -> list[int]:
+        """Requests that are refused for long, the latest last."""
+        return [
+            fingerprint
+            for fingerprint, refusal in self._refusals.items()
+            if refusal.duration_s >= QUARANTINE_S
+        ]
+
     def crashes(self, now: float) -> list[Crash]:
         """Return the crashes that count, the oldest first."""
         self._forget_old(now)
@@ -130,6 +139,11 @@
             self._forget_oldest()
         return refused
 
+    def adopt(self, fingerprint: int, now: float) -> None:
+        """Refuse a request that an earlier process refused for long."""
+        if fingerprint not in self._refusals:
+            self._refuse(fingerprint, QUARANTINE_S, now)
+
     def on_answer(self, fingerprint: int) -> bool:
         """Clear a request that was answered; tell whether it was suspected."""
         self._answered.pop(fingerprint, None)
--- a/src/clementinekeel/sidecar/crash_reports.py
+++ b/src/clementinekeel/sidecar/crash_reports.py
@@ -8,11 +8,13 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from clementinekeel.admission import fingerprint as fingerprint_module
 from clementinekeel.admission import quarantine
 from clementinekeel.membership import statements
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
 from clementinekeel.runtime import decision_log
+from clementinekeel.sidecar import entry as entry_module
 
 
 class CrashReports:
@@ -22,6 +24,13 @@
     ----------
     links : callable
         Returns links to the nodes beside the other endpoints of the service.
+
+    Attributes
+    ----------
+    crashes : int
+        Ends of this node's backend server.
+    on_change : callable
+        Called when ``encoded`` has changed.
     """
 
     def __init__(
@@ -33,7 +42,9 @@
         self._decisions = decisions
         self._loop = asyncio.get_running_loop()
         self._quarantine = quarantine.Quarantine()
+        self._encoded: list[str] = []
         self.crashes = 0
+        self.on_change: Callable[[], None] = lambda: None
 
     @property
     def suspects(self) -> int:
@@ -45,6 +56,19 @@
         """Number of requests that are refused."""
         return self._quarantine.quarantined
 
+    @property
+    def encoded(self) -> list[str]:
+        """Requests that are refused for long, for the node's entry."""
+        return self._encoded
+
+    def adopt(self, encoded: list[str]) -> None:
+        """Refuse what an earlier process on this VM refused for long."""
+        for text in encoded:
+            self._quarantine.adopt(
+                fingerprint_module.decode_fingerprint(text), self._loop.time()
+            )
+        self._encode()
+
     def refusal_s(self, fingerprint: int) -> float:
         """Return for how long a request is refused; 0 if it may run."""
         return self._quarantine.remaining_s(fingerprint, self._loop.time())
@@ -64,6 +88,7 @@
     def on_answer(self, fingerprint: int) -> None:
         """Clear a request that the backend server has answered."""
         if self._quarantine.on_answer(fingerprint):
+            self._encode()
             self._send(frames.SuspectAnswered(fingerprint))
 
     def on_frame(self, link: link_module.Link, frame: frames.Frame) -> bool:
@@ -78,6 +103,7 @@
             )
         elif isinstance(frame, frames.SuspectAnswered):
             self._quarantine.on_answer(frame.fingerprint)
+            self._encode()
         else:
             return False
         return True
@@ -95,11 +121,19 @@
             self._decisions.write(
                 "request_quarantined",
                 False,
-                fingerprint=f"{fingerprint:016x}",
+                fingerprint=fingerprint_module.encode_fingerprint(fingerprint),
                 endpoint=crash.incarnation.endpoint,
                 source=source,
                 refused_s=round(self.refusal_s(fingerprint)),
             )
+        self._encode()
+
+    def _encode(self) -> None:
+        lasting = self._quarantine.lasting[-entry_module.MAX_REFUSED :]
+        encoded = [fingerprint_module.encode_fingerprint(f) for f in lasting]
+        if encoded != self._encoded:
+            self._encoded = encoded
+            self.on_change()
 
     def _send(self, frame: frames.Frame) -> None:
         for link in self._links():
--- a/src/clementinekeel/sidecar/entry.py
+++ b/src/clementinekeel/sidecar/entry.py
@@ -1,9 +1,15 @@
 """Entry of a node in the store."""
 
+from typing import Annotated
+
 import msgspec
 
+from clementinekeel.admission import fingerprint
 from clementinekeel.runtime import decoding
 
+MAX_REFUSED = 64
+"""Refused requests in an entry; 1 KiB."""
+
 
 class Entry(msgspec.Struct):
     """Entry of a node in the store."""
@@ -20,6 +26,12 @@
     slots: decoding.Count = 0
     incarnation_ms: decoding.Number = 0
     sequence: decoding.Number = 0
+    # Requests that crash the endpoints of the service, so that a restarted
+    # node refuses them even if all nodes of the service were restarted.
+    refused: Annotated[
+        list[fingerprint.EncodedFingerprint],
+        msgspec.Meta(max_length=MAX_REFUSED),
+    ] = []
 
 
 def encode_entry(entry: Entry) -> bytes:
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+from clementinekeel.admission import fingerprint
 from clementinekeel.admission import slot_queue
 from clementinekeel.backends import http1
 from clementinekeel.backends import local
@@ -561,7 +562,7 @@
             ),
             fingerprints,
         )
-        names = [f"{fingerprint:016x}" for fingerprint in fingerprints]
+        names = [fingerprint.encode_fingerprint(run) for run in fingerprints]
         self._decisions.write(
             "backend_ended",
             False,
@@ -715,7 +716,7 @@
             outcome=name,
             reason=reason,
             rank=job.offer.rank,
-            fingerprint=f"{job.offer.fingerprint:016x}",
+            fingerprint=fingerprint.encode_fingerprint(job.offer.fingerprint),
             is_retry=job.offer.is_retry,
             is_resent=job.is_resent,
             waited_ms=round(wait_ms),
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -116,6 +116,7 @@
             self._outbound_proxy.health_path,
             self._on_earlier_entry,
         )
+        self._peers.crash_reports.on_change = self._registration.refresh
         self._configuration = configuration.ConfigurationFollower(
             adapter.configuration_key,
             adapter.decode_configuration,
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -184,6 +184,7 @@
         if not self._has_started:
             self._has_started = True
             if earlier is not None:
+                self._peers.crash_reports.adopt(earlier.refused)
                 self._on_earlier_entry(earlier)
             await self._wait_for_heartbeat()
         if (
@@ -236,6 +237,7 @@
             settings.zone,
             settings.region,
         )
+        entry.refused = self._peers.crash_reports.encoded
         heartbeat = self._latest_heartbeat()
         if heartbeat is not None:
             entry.endpoint, entry.service = (
--- a/tests/sidecar/test_entry.py
+++ b/tests/sidecar/test_entry.py
@@ -50,6 +50,9 @@
         ("health_path", "/x\r\nGET /y"),
         ("zone", "z" * 5_000),
         ("region", None),
+        ("refused", ["0" * 16] * 65),
+        ("refused", ["x"]),
+        ("refused", [7]),
     ],
 )
 def test_odd_entry_is_an_error(name, value):
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from clementinekeel.admission import quarantine
+from clementinekeel.membership import statements
 from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import registration
 from clementinekeel.store import metadata
@@ -215,6 +217,35 @@
     run_registered(scenario)
 
 
+def test_restarted_node_refuses_what_its_earlier_process_refused():
+    """All nodes of a service may restart at once and forget their counts."""
+
+    async def scenario(store, own_registration, member):
+        reports = member.peers.crash_reports
+        reports.on_change = own_registration.refresh
+        for number in range(3):
+            incarnation = statements.Incarnation("e", number)
+            reports.on_crash(incarnation, (2**64 - 1, number))
+        await harness.settle(1)
+        restarted = harness.Member("n1")
+        task = asyncio.ensure_future(register(restarted, store).maintain())
+        await harness.settle(1)
+        task.cancel()
+        adopted = restarted.peers.crash_reports
+        assert adopted.refusal_s(2**64 - 1) >= quarantine.QUARANTINE_S - 2
+        assert not adopted.refusal_s(1)
+        writes = store.writes
+        reports.on_answer(2**64 - 1)
+        await harness.settle(1)
+        assert store.writes == writes + 1
+        assert (
+            entry_module.decode_entry(store.items["nodes/n1"].value).refused
+            == []
+        )
+
+    run_registered(scenario)
+
+
 def test_nodes_are_kept_during_an_outage_of_the_store():
     async def scenario(store, own_registration, member):
         other = harness.Member("n2")
