Take other content of the store under the version in force

Content that differs is now taken from the store, not from other nodes: those may not have reached it and have what was lost. Within one history the store has one content for a version, so that nothing is taken back.

test_lost_version_that_was_written_with_other_content_is_taken failed before.

--- a/src/clementinekeel/sidecar/configuration.py
+++ b/src/clementinekeel/sidecar/configuration.py
@@ -13,6 +13,9 @@
 from clementinekeel.sidecar import registration
 from clementinekeel.store import metadata
 
+STORE = "store"
+"""Source of a configuration that another node did not send."""
+
 Decoder = Callable[
     [bytes], result.Result[table.RoutingTable, errors.StepError]
 ]
@@ -64,7 +67,7 @@
                     snapshot = await self._store.read(self._key)
                     revision, epoch = snapshot.revision, snapshot.epoch
                     for item in snapshot.items:
-                        self.apply(item.value, "store")
+                        self.apply(item.value, STORE)
                 changes = await self._store.watch(self._key, revision, epoch)
             except metadata.MetadataError as error:
                 self._record_reachability(False, error.reason)
@@ -83,7 +86,7 @@
                 # The watch also reports longer keys with the same beginning.
                 is_configuration = event.key == self._key
                 if is_configuration and isinstance(event, metadata.Item):
-                    self.apply(event.value, "store")
+                    self.apply(event.value, STORE)
 
     def apply(self, content: bytes, source: str) -> None:
         """Put a configuration in force if it is newer and valid."""
@@ -99,7 +102,13 @@
             )
             return
         before = self._outbound_proxy.version
-        if not self._outbound_proxy.activate(routing_table):
+        # After the store has returned from a copy, the operators may use the
+        # number of a lost version for another one.
+        is_other_content = (
+            source == STORE
+            and content != self._peers.versions.configuration[1]
+        )
+        if not self._outbound_proxy.activate(routing_table, is_other_content):
             return
         self._applied_at = self._loop.time()
         self._peers.versions.configuration = (routing_table.version, content)
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -116,9 +116,19 @@
             return True
         return service in self._table.health_paths
 
-    def activate(self, routing_table: table.RoutingTable) -> bool:
-        """Put a configuration in force if it is newer; tell whether it was."""
-        if routing_table.version <= self.version:
+    def activate(
+        self, routing_table: table.RoutingTable, is_other_content: bool = False
+    ) -> bool:
+        """Put a configuration in force if it is newer; tell whether it was.
+
+        Parameters
+        ----------
+        is_other_content : bool
+            Whether the store has other content under the version in force.
+        """
+        if routing_table.version < self.version:
+            return False
+        if routing_table.version == self.version and not is_other_content:
             return False
         self._table = routing_table
         return True
--- a/tests/sidecar/test_configuration.py
+++ b/tests/sidecar/test_configuration.py
@@ -130,6 +130,43 @@
     run_following(scenario)
 
 
+def test_lost_version_that_was_written_with_other_content_is_taken():
+    """Nodes kept what the store had lost until the next version."""
+
+    async def scenario(store, follower, member):
+        store.put("conf", b"5")
+        copied = store.copy()
+        store.put("conf", b"7")
+        await harness.settle(1)
+        lost = member.outbound_proxy._table
+        await test_registration.return_from_copy(
+            store, copied, ("conf", b"07")
+        )
+        await harness.settle(2)
+        assert member.outbound_proxy.version == 7
+        assert member.outbound_proxy._table is not lost
+        assert member.peers.versions.configuration == (7, b"07")
+        # A node that did not reach the store has what was lost.
+        follower.apply(b"7", "n2")
+        assert member.peers.versions.configuration == (7, b"07")
+
+    run_following(scenario)
+
+
+def test_version_that_is_read_again_is_not_applied_again():
+    async def scenario(store, follower, member):
+        store.put("conf", b"5")
+        await harness.settle(1)
+        in_force = member.outbound_proxy._table
+        store.fail(metadata.FailureKind.COMPACTED)
+        await harness.settle(1)
+        store.failure = None
+        await harness.settle(2)
+        assert member.outbound_proxy._table is in_force
+
+    run_following(scenario)
+
+
 def test_changes_are_followed_after_two_returns_from_copies():
     async def scenario(store, follower, member):
         for version in (5, 8, 11):
