Take only a refused connection for an end of the backend server

A backend server resets connections beyond its limit.

The list of a node's lasting refusals gets a name that says what it holds.

--- a/src/clementinekeel/sidecar/crash_detection.py
+++ b/src/clementinekeel/sidecar/crash_detection.py
@@ -47,8 +47,12 @@
             self._check = self._loop.create_task(self._check_address())
 
     def on_connection_failed(self, error: OSError) -> None:
-        """Note that a connection to the backend server can't be made."""
-        if not isinstance(error, TimeoutError):
+        """Note that a connection to the backend server can't be made.
+
+        A reset is no end either: backend servers reset connections beyond
+        their limit.
+        """
+        if isinstance(error, ConnectionRefusedError):
             self._crashed_at = self._loop.time()
             self._report()
 
--- a/src/clementinekeel/sidecar/crash_reports.py
+++ b/src/clementinekeel/sidecar/crash_reports.py
@@ -30,7 +30,7 @@
     crashes : int
         Ends of this node's backend server.
     on_change : callable
-        Called when ``encoded`` has changed.
+        Called when ``lasting_refusals`` have changed.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         self._decisions = decisions
         self._loop = asyncio.get_running_loop()
         self._quarantine = quarantine.Quarantine()
-        self._encoded: list[str] = []
+        self._lasting_refusals: list[str] = []
         self.crashes = 0
         self.on_change: Callable[[], None] = lambda: None
 
@@ -57,9 +57,9 @@
         return self._quarantine.quarantined
 
     @property
-    def encoded(self) -> list[str]:
-        """Requests that are refused for long, for the node's entry."""
-        return self._encoded
+    def lasting_refusals(self) -> list[str]:
+        """Requests that are refused for long, as in the node's entry."""
+        return self._lasting_refusals
 
     def adopt(self, encoded: list[str]) -> None:
         """Refuse what an earlier process on this VM refused for long."""
@@ -67,7 +67,7 @@
             self._quarantine.adopt(
                 fingerprint_module.decode_fingerprint(text), self._loop.time()
             )
-        self._encode()
+        self._update_lasting_refusals()
 
     def refusal_s(self, fingerprint: int) -> float:
         """Return for how long a request is refused; 0 if it may run."""
@@ -88,7 +88,7 @@
     def on_answer(self, fingerprint: int) -> None:
         """Clear a request that the backend server has answered."""
         if self._quarantine.on_answer(fingerprint):
-            self._encode()
+            self._update_lasting_refusals()
             self._send(frames.SuspectAnswered(fingerprint))
 
     def on_frame(self, link: link_module.Link, frame: frames.Frame) -> bool:
@@ -103,7 +103,7 @@
             )
         elif isinstance(frame, frames.SuspectAnswered):
             self._quarantine.on_answer(frame.fingerprint)
-            self._encode()
+            self._update_lasting_refusals()
         else:
             return False
         return True
@@ -126,13 +126,13 @@
                 source=source,
                 refused_s=round(self.refusal_s(fingerprint)),
             )
-        self._encode()
+        self._update_lasting_refusals()
 
-    def _encode(self) -> None:
+    def _update_lasting_refusals(self) -> None:
         lasting = self._quarantine.lasting[-entry_module.MAX_REFUSED :]
         encoded = [fingerprint_module.encode_fingerprint(f) for f in lasting]
-        if encoded != self._encoded:
-            self._encoded = encoded
+        if encoded != self._lasting_refusals:
+            self._lasting_refusals = encoded
             self.on_change()
 
     def _send(self, frame: frames.Frame) -> None:
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -237,7 +237,7 @@
             settings.zone,
             settings.region,
         )
-        entry.refused = self._peers.crash_reports.encoded
+        entry.refused = self._peers.crash_reports.lasting_refusals
         heartbeat = self._latest_heartbeat()
         if heartbeat is not None:
             entry.endpoint, entry.service = (
