Send requests that crash backend servers in the soak

The soak's backend servers crashed at random moments, so that no request was at work at each end. The fault crashing_request sends one of the kinds of requests with a path of its own for 8 to 16 s; each backend server that runs it ends within 0.2 s, refuses connections, and is back after 1 to 3 s.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 import json
 import random
@@ -27,6 +28,11 @@
 node has acknowledged the leaving."""
 
 
+CRASHING_PREFIX = "crashing-"
+"""Requests with this in their path crash the backend server."""
+MAX_CRASH_DELAY_S = 0.2
+
+
 class Faults:
     """Faults in force; shares refer to all requests.
 
@@ -102,6 +108,9 @@
     ----------
     routes : dict
         Path at which each service is called.
+    on_crash : callable
+        Called when a request makes it crash; returns false if it is leaving
+        and only loses the answer.
     """
 
     def __init__(
@@ -111,7 +120,9 @@
         checker: checker_module.Checker,
         random_source: random.Random,
         routes: dict[str, str],
+        on_crash: Callable[[], bool],
     ) -> None:
+        self._on_crash = on_crash
         self.spec = spec
         self.name = name
         self.faults = Faults()
@@ -305,6 +316,10 @@
         connection.on_lost = lambda: disconnected_at.append(self._loop.time())
         self._running += 1
         try:
+            if CRASHING_PREFIX in request.path:
+                await self._crash_by(request.path, request_id)
+                connection.abort()
+                return
             work_s = self.spec.work_s * self._random.uniform(0.5, 1.5)
             await self._work(work_s * self.faults.slowness, disconnected_at)
             status = 200
@@ -320,6 +335,12 @@
             return
         self._answer(connection, request, request_id, status)
 
+    async def _crash_by(self, path: str, request_id: str) -> None:
+        self._checker.on_crashing_run(request_id, path, self._loop.time())
+        await asyncio.sleep(self._random.uniform(0, MAX_CRASH_DELAY_S))
+        if self._on_crash():
+            self._checker.crashes.on_end(path, self._loop.time())
+
     async def _work(
         self, duration_s: float, disconnected_at: list[float]
     ) -> None:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -11,6 +11,7 @@
 import enum
 from typing import NamedTuple
 
+from soak import crashes as crashes_module
 from soak import statements as statements_module
 
 # Bounds of the operators' rules for the standard deployments.
@@ -44,6 +45,7 @@
     REFUSED_HAS_NOT_RUN = "refused has not run"
     NOTHING_NEW_WHEN_LEAVING = "nothing new when leaving"
     RATE_LIMIT = "rate limit"
+    CRASHES_BOUNDED = "crashes by one request bounded"
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry budget"
     CANCELLED_WITH_CALLER = "cancelled with its caller"
@@ -129,6 +131,7 @@
     def __init__(self) -> None:
         self.disruptions = Disruptions()
         self.statements = statements_module.Statements()
+        self.crashes = crashes_module.Crashes()
         self._violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._sent: dict[str, SentRequest] = {}
@@ -163,6 +166,12 @@
             self._repeats[service].append(at)
         self._arrived.add((request_id, service))
 
+    def on_crashing_run(self, request_id: str, path: str, at: float) -> None:
+        """Record that a request runs that will crash the backend server."""
+        sent = self._sent.get(request_id)
+        if sent is not None:
+            self.crashes.on_run(path, sent.node, at)
+
     def on_run(
         self, request_id: str, run: Run, deadline_s: float | None
     ) -> None:
@@ -340,6 +349,14 @@
                     at,
                     f"{endpoint}: {count} requests, {allowed:.0f} allowed",
                 )
+        for path, at, count in self.crashes.excesses(
+            self.disruptions.is_undisrupted
+        ):
+            self._record_violation(
+                Guarantee.CRASHES_BOUNDED,
+                at,
+                f"{path} ran {count} times after its third crash",
+            )
         return list(dict.fromkeys(self._violations))
 
     def served_share(self, start: float, end: float) -> float:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -90,6 +90,12 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def send(self, request_type: RequestType) -> None:
+        """Send one request, beside those of the load."""
+        task = asyncio.ensure_future(self._request(request_type))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def wait_for_requests(self) -> None:
         """Wait for the requests in flight."""
         if self._tasks:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 import contextlib
 import random
 import signal
@@ -28,7 +28,9 @@
         fleet: fleet_module.Fleet,
         clients: clients_module.Clients,
         operator: operator_module.Operator,
+        request_types: Sequence[clients_module.RequestType],
     ) -> None:
+        self.request_types = request_types
         self.fleet = fleet
         self.clients = clients
         self.operator = operator
@@ -357,6 +359,21 @@
             await testbed.fleet.start_backend(node, name)
 
 
+@FAULTS.register("crashing_request")
+async def crashing_request(
+    testbed: Testbed, random_source: random.Random
+) -> None:
+    """Send a request that crashes the backend servers that run it."""
+    name = f"{backend_module.CRASHING_PREFIX}{random_source.getrandbits(32)}"
+    request_type = random_source.choice(testbed.request_types)
+    request_type = request_type._replace(path=request_type.path + name)
+    interval_s = random_source.uniform(0.1, 0.6)
+    end = testbed.loop.time() + random_source.uniform(8, 16)
+    while testbed.loop.time() < end:
+        testbed.clients.send(request_type)
+        await asyncio.sleep(interval_s)
+
+
 @FAULTS.register("backend_leave")
 async def backend_leave(
     testbed: Testbed, random_source: random.Random
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,6 +29,8 @@
 NODE_PORT = 7620
 BACKEND_PORT = 8301
 """Port of the relay to the backend server."""
+BACKEND_RESTART_S = (1.0, 3.0)
+"""Shortest and longest time after which a crashed backend server is back."""
 BACKEND_DIRECT_PORT = 8400
 """Port of the backend server itself."""
 OUTBOUND_PORT = 8304
@@ -325,6 +327,7 @@
         self.store_relays: dict[str, relay_module.Relay] = {}
         self.backend_relays: dict[str, relay_module.Relay] = {}
         self._backends_started = 0
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def link_faults(self, source: str, target: str) -> relay_module.Faults:
         """Return the faults on connections from one node to another."""
@@ -367,8 +370,35 @@
             self.checker,
             self._random,
             self._routes,
+            lambda: self.crash_backend(node),
         )
         await node.backend.start()
+        relay = self.backend_relays.get(node.name)
+        if relay is not None and not relay.is_listening:
+            await relay.start(address(node.host, BACKEND_PORT))
+
+    def crash_backend(self, node: Node) -> bool:
+        """Crash a backend server; it starts again after a while.
+
+        Returns false if the node has none, or one that is leaving.
+        """
+        backend, node.backend = node.backend, None
+        if backend is None:
+            return False
+        task = asyncio.ensure_future(self._restart_backend(node, backend.name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        self.backend_relays[node.name].stop()
+        backend.crash()
+        return True
+
+    async def _restart_backend(self, node: Node, name: str) -> None:
+        disruptions = self.checker.disruptions
+        loop = asyncio.get_running_loop()
+        disruption = disruptions.begin(node.name, loop.time())
+        await asyncio.sleep(self._random.uniform(*BACKEND_RESTART_S))
+        await self.start_backend(node, self._random.choice((name, "")))
+        disruptions.end(disruption, loop.time())
 
     def kill_all(self) -> None:
         """Kill the processes of all nodes."""
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -95,10 +95,22 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server is not None
+
     async def start(self, address: Address) -> None:
         """Listen at an address."""
         self._server = await asyncio.start_server(self._accept, *address)
 
+    def stop(self) -> None:
+        """Refuse connections from now on, and reset those that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.reset()
+
     def reset(self, source: str | None = None) -> None:
         """Reset all open connections, or those of one source."""
         for connection in list(self._connections):
--- a/soak/run.py
+++ b/soak/run.py
@@ -183,7 +183,7 @@
         for request_type in REQUEST_TYPES
     ]
     started_at = loop.time()
-    testbed = faults_module.Testbed(fleet, clients, operator)
+    testbed = faults_module.Testbed(fleet, clients, operator, REQUEST_TYPES)
     # Faults have a random generator of their own, because the number of
     # other draws depends on the timing.
     fault_names = await _inject_faults(testbed, random.Random(seed), seconds)
--- a/soak/sabotage.py
+++ b/soak/sabotage.py
@@ -13,6 +13,7 @@
 from clementinekeel.platform import main as platform_main
 from clementinekeel.routing import table
 from clementinekeel.runtime import registry
+from clementinekeel.sidecar import crash_reports
 from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import outbound
@@ -55,6 +56,14 @@
     _replace_method(outbound.OutboundProxy, "_give_up", give_up)
 
 
+@SABOTAGES.register("no_quarantine")
+def no_quarantine() -> None:
+    """Let requests run however many backend servers they crash."""
+    _replace_method(
+        crash_reports.CrashReports, "refusal_s", lambda *_arguments: 0.0
+    )
+
+
 @SABOTAGES.register("older_configuration")
 def older_configuration() -> None:
     """Revert to the previous version ``REVERT_DELAY_S`` after each change."""
