Forget failed runs that are older than the window

Entries older than the window are removed when the next run fails. What is reported stays the same.

test_failures_of_a_backend_server_that_lives_are_forgotten failed before.

--- a/src/clementinekeel/sidecar/crash_detection.py
+++ b/src/clementinekeel/sidecar/crash_detection.py
@@ -39,6 +39,7 @@
     def on_run_failed(self, fingerprint: int) -> None:
         """Note that a request failed while it ran."""
         now = self._loop.time()
+        self._forget_old(now)
         self._failed_runs.pop(fingerprint, None)
         self._failed_runs[fingerprint] = now
         if now - self._crashed_at < FAILURE_WINDOW_S:
@@ -71,10 +72,17 @@
         finally:
             self._check = None
 
+    def _forget_old(self, now: float) -> None:
+        # In the order of the failures, so that the oldest are first.
+        for fingerprint, failed_at in list(self._failed_runs.items()):
+            if now - failed_at <= FAILURE_WINDOW_S:
+                return
+            del self._failed_runs[fingerprint]
+
     def _report(self) -> None:
         """Report the recent failures; the oldest are first."""
-        since = self._loop.time() - FAILURE_WINDOW_S
-        recent = tuple(f for f, at in self._failed_runs.items() if at >= since)
+        self._forget_old(self._loop.time())
+        recent = tuple(self._failed_runs)
         self._failed_runs.clear()
         if recent:
             self._on_crash(recent)
--- a/tests/sidecar/test_crash_detection.py
+++ b/tests/sidecar/test_crash_detection.py
@@ -47,6 +47,19 @@
     run_detector(scenario)
 
 
+def test_failures_of_a_backend_server_that_lives_are_forgotten():
+    """They would fill the memory of the node within days."""
+
+    async def scenario(detector, server, crashes):
+        for run in range(1_000):
+            detector.on_run_failed(run)
+            await harness.settle(0.1)
+        assert len(detector._failed_runs) <= 12
+        assert crashes == []
+
+    run_detector(scenario)
+
+
 def test_end_that_a_later_connection_shows_is_reported():
     """The listening socket may be closed later than the connections."""
 
