Let the kernel probe connections to the store

Cause: a watch on a connection that had gone silent waited for up to 28 s. Ruled out: the backoff, and the read after a failed watch.

No call of the store more.

--- a/src/clementinekeel/store/calls.py
+++ b/src/clementinekeel/store/calls.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 
 from clementinekeel.backends import http1
-from clementinekeel.nodes import link
 from clementinekeel.runtime import decoding
+from clementinekeel.runtime import sockets
 from clementinekeel.store import metadata
 
 CONNECT_TIMEOUT_S = 1.0
 """A handshake between regions takes 60 ms."""
+SILENCE_LIMITS = sockets.SilenceLimits(unacknowledged_ms=2_500, probes=2)
+"""Ends a watch 3 s after its connection went silent; with one lost packet
+allowed. Nodes must have a change in force 4 s after the connections ended."""
 
 
 class StoreConnections:
@@ -186,5 +189,5 @@
             transport, connection = await self._loop.create_connection(
                 lambda: http1.HttpConnection(b""), self._host, self._port
             )
-        link.set_user_timeout(transport)
+        sockets.limit_silence(transport, SILENCE_LIMITS)
         return connection
--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import selectors
+import socket
 
 TEST_TIMEOUT_S = 600
 """Virtual time after which a test is ended as hung."""
@@ -27,6 +28,31 @@
         return ready
 
 
+class _Socket:
+    """Options of one side of a connection."""
+
+    def __init__(self):
+        self._options = {}
+
+    def setsockopt(self, level, name, value):
+        self._options[level, name] = value
+
+    @property
+    def silence_limit_s(self):
+        """Silence after which probes have failed; None without probes."""
+        if not self._options.get((socket.SOL_SOCKET, socket.SO_KEEPALIVE)):
+            return None
+        idle, interval, count = (
+            self._options[socket.IPPROTO_TCP, name]
+            for name in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+            )
+        )
+        return idle + interval * count
+
+
 class MemoryTransport(asyncio.Transport):
     """One side of a connection; ``peer`` is the other side.
 
@@ -34,7 +60,10 @@
     """
 
     def __init__(self, loop, protocol, local, remote):
-        super().__init__({"sockname": local, "peername": remote})
+        self._socket = _Socket()
+        super().__init__(
+            {"sockname": local, "peername": remote, "socket": self._socket}
+        )
         self.loop = loop
         self.protocol = protocol
         self.peer = None
@@ -47,6 +76,14 @@
     def is_closing(self):
         return self.is_closed
 
+    def silence(self):
+        """Lose all packets from now on; probes of the kernel notice it."""
+        self.is_silent = True
+        limit_s = self._socket.silence_limit_s
+        if limit_s is not None:
+            error = TimeoutError("no answer to probes")
+            self.loop.call_later(limit_s, self.close_by_peer, error)
+
     def get_write_buffer_size(self):
         return 0
 
@@ -146,7 +183,7 @@
         """Make the open connections to an address silent, permanently."""
         for transport in self.transports:
             if (host, port) in (transport.local, transport.remote):
-                transport.is_silent = True
+                transport.silence()
 
 
 def run(function, *arguments):
--- a/tests/store/test_calls.py
+++ b/tests/store/test_calls.py
@@ -96,6 +96,28 @@
     run_calls(scenario)
 
 
+def test_silent_watch_ends_without_any_other_call():
+    """A watch waited for 28 s while all other calls used new connections.
+
+    Nodes must have a change in force 4 s after their connections went silent;
+    the rest is for the next watch.
+    """
+
+    async def scenario(connections):
+        watch = asyncio.ensure_future(
+            call(connections, "/wait", timeout_s=28.0)
+        )
+        await harness.settle()
+        connections._loop.silence("store", 1)
+        with pytest.raises(metadata.MetadataError) as caught:
+            async with asyncio.timeout(3.5):
+                await watch
+        assert caught.value.kind is FailureKind.UNANSWERED
+        assert (await call(connections)).status == 200
+
+    run_calls(scenario)
+
+
 def test_change_of_the_store_s_history_is_noticed():
     """Revisions of two histories can't be compared."""
 
