Replace links that go silent, and continue their requests

Cause: a link was tested after 1.5 s of rest and given up after 1.5 s of silence. Requests were offered on it all that time; their outcome was unknown even if the offer never arrived, and they ended in 502 or 504.

Change: a link on which an offer waits is tested after a few round trips. While the ping is unanswered, other endpoints are preferred and a second connection is opened. If the node answers there first, it ends the silent link and tells the fate of each offer: not received (refused, offered again), waiting or running (goes on), finished (its result is sent again) or unknown (failed). Offers are numbered, so that a refusal is only sent for one that did not arrive. A pause of the node itself does not count as silence. An address whose connection ended while it was dialed is dialed again.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -13,7 +13,7 @@
 
 from clementinekeel.runtime import errors
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 HEADER_BYTES = 5
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Larger frames are a fault of the sender; a configuration has 1 MiB."""
@@ -25,6 +25,8 @@
 QUARANTINED = "quarantined"
 """Reason of a refusal that holds at all endpoints: the request has crashed
 several of them."""
+NOT_RECEIVED = "not_received"
+"""Reason of a refusal of an offer that was lost with its link."""
 
 
 class FrameError(errors.StepError):
@@ -40,6 +42,9 @@
         Address on which the sender accepts links.
     configuration_version : int
         Configuration version in force at the sender; 0 if there is none.
+    link : int
+        Number of this link among those that its opener has made. The
+        accepting node sends it back.
     """
 
     protocol: int
@@ -50,6 +55,7 @@
     host: str
     port: int
     configuration_version: int
+    link: int
 
 
 class EndpointStatus(NamedTuple):
@@ -276,6 +282,25 @@
     stream: int
 
 
+class Resume(NamedTuple):
+    """The link takes the place of earlier ones that have gone silent.
+
+    Attributes
+    ----------
+    links : tuple of int
+        Numbers of those links, as in ``Hello``.
+    streams : tuple of int
+        Offers of the sender that are without a result.
+    """
+
+    links: tuple[int, ...]
+    streams: tuple[int, ...]
+
+
+class Resumed(NamedTuple):
+    """The receiver's ``Resume`` has been carried out."""
+
+
 class Ping(NamedTuple):
     """Checks that the peer is alive, and states the sender's configuration.
 
@@ -330,6 +355,8 @@
     | Pong
     | Configuration
     | ConfigurationRequest
+    | Resume
+    | Resumed
 )
 
 _KINDS: tuple[type[Any], ...] = (
@@ -349,6 +376,8 @@
     EarlierStatement,
     CrashReport,
     SuspectAnswered,
+    Resume,
+    Resumed,
 )
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _DECODERS = [msgspec.msgpack.Decoder(kind) for kind in _KINDS]
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -2,36 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-import socket
 from typing import Any, cast
 
 from clementinekeel.nodes import frames
+from clementinekeel.nodes import liveness
+from clementinekeel.nodes import result_memory
 from clementinekeel.nodes import transit
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import sockets
 
-SILENCE_TIMEOUT_MS = 1_500
-"""A link on which a reply is expected is closed after this silence.
-
-A round trip between regions takes 60 ms; the rest allows for a peer that is
-short of processor time. A partition or a half-open connection can only be
-detected by silence.
-"""
-PING_IDLE_MS = 1_500
-"""Idle time after which a link is tested by a ping. Traffic between regions
-is billed by volume, and in a fleet of 80 nodes each node has 160 links to
-test."""
-USER_TIMEOUT_MS = 3_000
-"""The kernel closes a connection whose data stays unacknowledged for this
-time."""
-
-
-def set_user_timeout(transport: asyncio.BaseTransport) -> None:
-    """Let the kernel close a connection whose peer acknowledges no data."""
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
+SILENCE_LIMITS = sockets.SilenceLimits(unacknowledged_ms=3_000, probes=0)
+"""Pings test idle links, so that the kernel sends no probes."""
 
 
 class Link(asyncio.Protocol):
@@ -45,6 +26,9 @@
         Called with this link when it is connected and when it has ended.
     decisions : DecisionLog
         Log for faults of the link.
+    number : int
+        Number that the node that opened the link gave it; 0 while it is
+        unknown.
 
     Attributes
     ----------
@@ -53,8 +37,17 @@
     streams : dict
         Requests that were offered over this link, by stream number; filled
         by ``on_frame``.
+    results : ResultMemory
+        Results that were sent over this link lately.
+    last_stream : int
+        Highest number of an offer that arrived here or on a link that this
+        one has replaced.
+    replaced_links : set of int
+        Numbers of the links that this one has replaced.
     transit : DelayEstimator
         Delays of the frames received on this link.
+    is_waiting : callable
+        Tells whether offers of this node are still without a result.
     """
 
     def __init__(
@@ -63,6 +56,7 @@
         on_open: Callable[["Link"], None],
         on_lost: Callable[["Link"], None],
         decisions: decision_log.DecisionLog,
+        number: int = 0,
     ) -> None:
         self._decisions = decisions
         self._on_frame = on_frame
@@ -71,12 +65,17 @@
         self._reader = frames.FrameReader()
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._last_received_at = self._loop.time()
-        self._reply_expected_since: float | None = None
+        self._liveness = liveness.Liveness(self._loop.time())
+        self._is_replaced = False
+        self.number = number
         self.peer: frames.Hello | None = None
         self.status: frames.EndpointStatus | None = None
         self.streams: dict[int, Any] = {}
+        self.results = result_memory.ResultMemory()
+        self.last_stream = 0
+        self.replaced_links: set[int] = set()
         self.transit = transit.DelayEstimator()
+        self.is_waiting: Callable[[], bool] = lambda: False
 
     @property
     def is_open(self) -> bool:
@@ -84,27 +83,59 @@
         transport = self._transport
         return transport is not None and not transport.is_closing()
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the peer has been silent for longer than usual."""
+        return self._liveness.is_doubtful
+
+    @property
+    def needs_close_watch(self) -> bool:
+        """Whether offers or a ping wait for a sign of the peer."""
+        return self._liveness.is_probing or self.is_waiting()
+
+    @property
+    def _peer_name(self) -> str:
+        return self.peer.node if self.peer else ""
+
     def send(self, frame: frames.Frame) -> None:
         """Send a frame; it is lost if the link has ended."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(frames.encode(frame))
+        if self.is_open:
+            self._write(frames.encode(frame))
+
+    def send_result(self, frame: result_memory.Result) -> None:
+        """Send a part of a result, and keep it in case the link is silent."""
+        data = frames.encode(frame)
+        self.results.record(frame, data, self._loop.time())
+        self._write(data)
+
+    def send_again(self, sent: result_memory.SentFrame) -> None:
+        """Send a frame of a result again that a silent link has lost."""
+        self.results.add(sent._replace(sent_at=self._loop.time()))
+        self._write(sent.data)
 
     def expect_reply(self) -> None:
-        """Expect a reply; the peer's silence is timed from now on."""
-        if self._reply_expected_since is None:
-            self._reply_expected_since = self._loop.time()
+        """Expect a sign of the peer soon."""
+        self._liveness.on_offer(self._loop.time())
 
     def abort(self) -> None:
         """End the link at once."""
         if self._transport is not None:
             self._transport.abort()
 
+    def replace(self) -> None:
+        """End the link at once, since another one takes its place.
+
+        What has not been read yet is ignored, and its end is not reported.
+        """
+        self._is_replaced = True
+        self.abort()
+
     def close(self) -> None:
         """End the link once everything is sent."""
         if self._transport is not None:
             self._transport.close()
 
-    def check_liveness(self, configuration_version: int) -> None:
+    def check_liveness(self, configuration_version: int) -> liveness.Action:
         """Ping the peer of an idle link, or abort a silent link.
 
         To be called periodically.
@@ -113,44 +144,44 @@
         ----------
         configuration_version : int
             Version in force at this node, sent with a ping.
+
+        Returns
+        -------
+        Action
+            ``DOUBT`` when the peer has begun to be silent for too long.
         """
         now = self._loop.time()
-        idle_ms = (now - self._last_received_at) * 1000
-        if self._reply_expected_since is not None:
-            silent_ms = (
-                now - max(self._reply_expected_since, self._last_received_at)
-            ) * 1000
-            if silent_ms > SILENCE_TIMEOUT_MS:
-                name = self.peer.node if self.peer else ""
-                self._decisions.write(
-                    "link_silent",
-                    False,
-                    peer=name,
-                    silent_ms=round(silent_ms),
-                )
-                self.abort()
-        elif idle_ms > PING_IDLE_MS:
-            self.expect_reply()
+        self.results.forget_older(now)
+        action = self._liveness.check(now, self.is_waiting())
+        if action is liveness.Action.PROBE:
             self.send(frames.Ping(configuration_version))
+        elif action is liveness.Action.END:
+            self._decisions.write("link_silent", False, peer=self._peer_name)
+            self.abort()
+        return action
+
+    def postpone_checks(self, pause_s: float) -> None:
+        """Leave out a time in seconds in which this process did not run."""
+        self._liveness.postpone(pause_s)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up a new connection."""
         self._transport = cast(asyncio.Transport, transport)
-        set_user_timeout(transport)
-        self._last_received_at = self._loop.time()
+        sockets.limit_silence(transport, SILENCE_LIMITS)
         self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
         """Pass the frames in received bytes to ``on_frame``."""
-        self._last_received_at = self._loop.time()
-        self._reply_expected_since = None
+        if self._is_replaced:
+            return
+        self._liveness.on_received(self._loop.time())
         try:
             received = self._reader.feed(data)
         except frames.FrameError as error:
             self._decisions.write(
                 "frame_dropped",
                 False,
-                peer=self.peer.node if self.peer else "",
+                peer=self._peer_name,
                 reason=error.reason,
             )
             self.abort()
@@ -160,4 +191,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection."""
-        self._on_lost(self)
+        if not self._is_replaced:
+            self._on_lost(self)
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -95,8 +95,12 @@
         self, exchange: exchange_module.Exchange, refusal: frames.Refusal
     ) -> None:
         """Offer a refused request to another endpoint, or refuse it."""
-        exchange.peer = None
+        peer, exchange.peer = exchange.peer, None
         exchange.last_reason = refusal.reason
+        if refusal.reason == frames.NOT_RECEIVED and peer is not None:
+            # The endpoint knows nothing of the request, and may get it.
+            exchange.offers -= 1
+            exchange.tried_nodes.discard(peer.node)
         if refusal.reason in BACKEND_REFUSAL_REASONS:
             exchange.backend_arrivals += 1
             # The backend server may accept the request a moment later.
@@ -157,6 +161,7 @@
         remaining_ms = round((exchange.expires_at - now) * 1000)
         exchange.offers += 1
         exchange.offered_at = now
+        exchange.has_changed_link = False
         exchange.tried_nodes.add(peer.node)
         exchange.peer = peer
         if route.is_idempotent:
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -49,6 +49,8 @@
         Reason of the last refusal or failure; empty before.
     offered_at : float
         When the present offer was made.
+    has_changed_link : bool
+        Whether the link of the present offer has been replaced.
     missing_answer_bytes : int
         Bytes of the answer's body that have not arrived.
     """
@@ -88,6 +90,7 @@
         self.retry_after_ms = 0
         self.last_reason = ""
         self.offered_at = 0.0
+        self.has_changed_link = False
         self.answer: frames.Answer | None = None
         self.answer_parts: list[bytes] = []
         self.missing_answer_bytes = 0
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -259,6 +259,7 @@
         expires_at = now + (offer.remaining_ms - excess_ms) / 1000
         job = job_module.Job(sender, offer, expires_at, now)
         sender.streams[offer.stream] = job
+        sender.last_stream = max(sender.last_stream, offer.stream)
         if job.missing_bytes <= 0:
             self._submit(job)
 
@@ -613,7 +614,7 @@
         self._loop.call_later(duration_s, self._on_status_change)
 
     def _fail(self, job: job_module.Job, reason: str) -> None:
-        job.sender.send(frames.Failure(job.offer.stream, reason))
+        job.sender.send_result(frames.Failure(job.offer.stream, reason))
         self._end(job, None, "failed:" + reason)
 
     def _answer(self, job: job_module.Job, answer: http1.Answer) -> None:
@@ -626,7 +627,7 @@
         head += b"".join(b"%s: %s\r\n" % item for item in answer.headers)
         body, stream = answer.body, job.offer.stream
         first_part = body[: frames.PART_BYTES]
-        job.sender.send(
+        job.sender.send_result(
             frames.Answer(
                 stream,
                 status,
@@ -642,7 +643,7 @@
         )
         for start in range(frames.PART_BYTES, len(body), frames.PART_BYTES):
             part = body[start : start + frames.PART_BYTES]
-            job.sender.send(frames.AnswerPart(stream, part))
+            job.sender.send_result(frames.AnswerPart(stream, part))
         self._remove_job(job, "answered")
         self._apply(changes)
 
@@ -655,7 +656,7 @@
         if reason == frames.QUARANTINED:
             refusal_s = self._crash_reports.refusal_s(job.offer.fingerprint)
             retry_after_ms = refusal_s * 1000
-        job.sender.send(
+        job.sender.send_result(
             frames.Refusal(
                 job.offer.stream,
                 reason,
--- a/src/clementinekeel/sidecar/job.py
+++ b/src/clementinekeel/sidecar/job.py
@@ -9,6 +9,7 @@
 
 from clementinekeel.backends import http1
 from clementinekeel.nodes import frames
+from clementinekeel.nodes import result_memory
 from clementinekeel.nodes import transit as transit_module
 
 
@@ -16,10 +17,11 @@
     """Link or loopback that delivered an offer."""
 
     streams: dict[int, Any]
+    last_stream: int
     transit: transit_module.DelayEstimator
 
-    def send(self, frame: frames.Frame) -> None:
-        """Send a frame to the node that made the offer."""
+    def send_result(self, frame: result_memory.Result) -> None:
+        """Send a part of a result to the node that made the offer."""
 
 
 class Job:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
+import itertools
 import random
 import signal
 from typing import Any
@@ -28,11 +29,13 @@
 from clementinekeel.sidecar import settings as settings_module
 from clementinekeel.store import calls
 
-CHECK_INTERVAL_S = 0.25
-"""Interval of the checks of links, queues and idle connections."""
-RETRY_CHECK_INTERVAL_S = 0.05
-"""Interval of the check for attempts that have timed out; an attempt waits for
-250 ms at least."""
+CHECK_INTERVAL_S = 0.05
+"""Interval of the checks for attempts that have timed out, which wait for
+250 ms at least, and for links that have gone silent."""
+CHECKS_PER_ROUND = 5
+"""Checks after which idle links, queues and idle connections are checked."""
+MIN_PAUSE_S = 0.1
+"""Delay of a check after which the process counts as paused."""
 BACKLOG = 1024
 """Connections that may wait to be accepted; a full backlog delays a caller by
 seconds."""
@@ -184,7 +187,6 @@
             tasks.start_soon(self._registration.maintain)
             tasks.start_soon(self._registration.follow)
             tasks.start_soon(self._run_checks)
-            tasks.start_soon(self._retry_overdue_requests)
             tasks.start_soon(self._watch_settings)
             tasks.start_soon(self._handle_signals)
             await self._stop_requested.wait()
@@ -294,19 +296,22 @@
             yield sample("log_lines_left_out", count, rule=rule)
 
     async def _run_checks(self) -> None:
-        while True:
+        for number in itertools.count():
+            due_at = self._loop.time() + CHECK_INTERVAL_S
             await asyncio.sleep(CHECK_INTERVAL_S)
+            pause_s = self._loop.time() - due_at
+            if pause_s > MIN_PAUSE_S:
+                self._peers.postpone_checks(pause_s)
+            self._peers.check_waiting_links()
+            self._outbound_proxy.tick()
+            if number % CHECKS_PER_ROUND:
+                continue
             self._peers.tick()
             self._inbound_proxy.tick()
             now = self._loop.time()
             for connection in list(self._connections):
                 connection.check_timeouts(now)
 
-    async def _retry_overdue_requests(self) -> None:
-        while True:
-            await asyncio.sleep(RETRY_CHECK_INTERVAL_S)
-            self._outbound_proxy.tick()
-
     async def _handle_signals(self) -> None:
         """Handle signals until the end of the process.
 
--- a/src/clementinekeel/sidecar/peer.py
+++ b/src/clementinekeel/sidecar/peer.py
@@ -31,12 +31,13 @@
         deliver: Callable[[frames.Frame], None],
     ) -> None:
         self.streams: dict[int, Any] = {}
+        self.last_stream = 0
         self.transit = transit.DelayEstimator()
         self._inbound_proxy = inbound_proxy
         self._deliver = deliver
         self._loop = asyncio.get_running_loop()
 
-    def send(self, frame: frames.Frame) -> None:
+    def send_result(self, frame: frames.Frame) -> None:
         """Pass a result of the inbound proxy to the outbound proxy."""
         self._deliver(frame)
 
@@ -64,6 +65,14 @@
         Takes the place of the link if this is the node itself.
     dialed_link : Link or None
         Link that this node opened, also before the hello.
+    replacement : Link or None
+        Second link, opened beside a doubtful one.
+    is_replacing : bool
+        Whether a second link is open or being opened.
+    silent_links : tuple of int
+        Numbers of replaced links that the node may not have ended yet.
+    on_offer : callable or None
+        Called with this peer at each offer on its link.
     exchanges : dict
         Exchanges that wait for a result, by stream.
     has_crash_reports : bool
@@ -90,6 +99,11 @@
         self.unreachable_since: float | None = None
         self.dialed_link: link_module.Link | None = None
         self.is_dialing = False
+        self.replacement: link_module.Link | None = None
+        self.is_replacing = False
+        self.next_replacement_at = 0.0
+        self.silent_links: tuple[int, ...] = ()
+        self.on_offer: Callable[[Peer], None] | None = None
         self.has_crash_reports = False
         self.next_dial_at = 0.0
         self.backoff_s = MIN_BACKOFF_S
@@ -109,6 +123,11 @@
             return True
         return self.link is not None and self.link.is_open
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the node has been silent for longer than usual."""
+        return self.link is not None and self.link.is_doubtful
+
     @property
     def endpoint(self) -> str:
         """Identity of the backend server; empty if none is known."""
@@ -152,6 +171,8 @@
                 self.loopback.offer_part(part)
         elif self.link is not None:
             self.link.expect_reply()
+            if self.on_offer is not None:
+                self.on_offer(self)
             self.link.send(offer)
             for part in parts:
                 self.link.send(part)
@@ -175,7 +196,7 @@
             self.service_ms,
             self.transit_ms,
             now < self.warm_up_until,
-            now < self.suspect_until,
+            now < self.suspect_until or self.is_doubtful,
         )
 
     def on_transit(self, transit_ms: float) -> None:
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -11,14 +11,13 @@
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
 from clementinekeel.sidecar import crash_reports
+from clementinekeel.sidecar import dialer
 from clementinekeel.sidecar import inbound
 from clementinekeel.sidecar import peer as peer_module
+from clementinekeel.sidecar import resumption
 from clementinekeel.sidecar import settings as settings_module
 from clementinekeel.sidecar import versions
 
-CONNECT_TIMEOUT_S = 1.0
-"""A handshake between regions takes 60 ms; a longer silence means a network
-partition or a loss of power."""
 REMOVAL_DELAY_S = 3.0
 """Time for which a node without an entry in the store may be unreachable
 before it is removed; after an outage of the store, entries return within two
@@ -54,7 +53,7 @@
         self._by_service: dict[str, list[peer_module.Peer]] = {}
         self._inbound_links: set[link_module.Link] = set()
         self._statements = statements.StatementMemory()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._waiting_peers: set[peer_module.Peer] = set()
         self._random = random.Random()
         self._inbound_proxy: inbound.InboundProxy | None = None
         self.outbound_proxy: Any = None
@@ -65,6 +64,9 @@
         self.versions = versions.VersionExchange(
             self._links, self._distance, decisions
         )
+        self._dialer = dialer.Dialer(
+            self, self._own_hello, self.versions, decisions
+        )
 
     @property
     def known(self) -> Collection[peer_module.Peer]:
@@ -142,11 +144,13 @@
             if peer is not None:
                 self._remove(peer, "moved")
             tier = self._tier(zone, region)
-            peer = self._peers[node] = peer_module.Peer(node, host, port, tier)
+            peer = peer_module.Peer(node, host, port, tier)
+            peer.on_offer = self._waiting_peers.add
+            self._peers[node] = peer
             self._decisions.write("node_found", False, peer=node, host=host)
         if is_listed:
             peer.is_listed = True
-        self._dial_if_needed(peer, self._loop.time())
+        self._dialer.dial_if_needed(peer)
 
     def mark_unlisted(self, node: str) -> None:
         """Record that a node has no entry in the store any more."""
@@ -164,12 +168,11 @@
     def tick(self) -> None:
         """Test links, dial missing ones and remove unreachable nodes."""
         now = self._loop.time()
-        version = self.versions.own_version
         for peer in list(self._peers.values()):
             if peer.loopback is not None:
                 continue
             if peer.dialed_link is not None:
-                peer.dialed_link.check_liveness(version)
+                self._dialer.check(peer)
             elif (
                 not peer.is_listed
                 and peer.unreachable_since is not None
@@ -177,10 +180,28 @@
             ):
                 self._remove(peer, "gone")
             else:
-                self._dial_if_needed(peer, now)
+                self._dialer.dial_if_needed(peer)
+        version = self.versions.own_version
         for link in list(self._inbound_links):
             link.check_liveness(version)
 
+    def check_waiting_links(self) -> None:
+        """Test the links on which offers or pings wait for a sign."""
+        for peer in list(self._waiting_peers):
+            self._dialer.check(peer)
+            if peer.link is None or not peer.link.needs_close_watch:
+                self._waiting_peers.discard(peer)
+
+    def postpone_checks(self, pause_s: float) -> None:
+        """Leave out a time in seconds in which this process did not run.
+
+        What other nodes sent meanwhile has not been read yet.
+        """
+        for peer in self._peers.values():
+            self._dialer.postpone_checks(peer, pause_s)
+        for link in self._inbound_links:
+            link.postpone_checks(pause_s)
+
     def accept(self) -> link_module.Link:
         """Return the protocol for a connection that another node opens."""
         return link_module.Link(
@@ -193,8 +214,9 @@
     def close(self) -> None:
         """Close all links after their pending frames are sent."""
         for peer in self._peers.values():
-            if peer.link is not None:
-                peer.link.close()
+            for link in (peer.dialed_link, peer.replacement):
+                if link is not None:
+                    link.close()
         for link in self._inbound_links:
             link.close()
 
@@ -205,126 +227,45 @@
             return placement.Tier.REGION
         return placement.Tier.REMOTE
 
-    def _own_hello(self) -> frames.Hello:
-        settings = self._settings
-        return frames.Hello(
-            frames.PROTOCOL_VERSION,
-            settings.node,
-            self._incarnation,
-            settings.zone,
-            settings.region,
-            settings.peers.host,
-            settings.peers.port,
-            self.versions.own_version,
-        )
-
-    def _dial_if_needed(self, peer: peer_module.Peer, now: float) -> None:
-        if peer.is_dialing or now < peer.next_dial_at:
-            return
-        peer.is_dialing = True
-        task = self._loop.create_task(self._dial(peer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _on_outbound_open(self, link: link_module.Link) -> None:
-        link.expect_reply()
-        link.send(self._own_hello())
-
-    async def _dial(self, peer: peer_module.Peer) -> None:
-        def make_link() -> link_module.Link:
-            return link_module.Link(
-                lambda link, frame: self._on_outbound_frame(peer, link, frame),
-                self._on_outbound_open,
-                lambda link: self._on_outbound_end(peer, link),
-                self._decisions,
-            )
+    def is_current(self, peer: peer_module.Peer) -> bool:
+        """Tell whether a node is still known at its address."""
+        return self._peers.get(peer.node) is peer
 
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, link = await self._loop.create_connection(
-                    make_link, peer.host, peer.port
-                )
-        except (OSError, ValueError, OverflowError) as error:
-            # An address that can't be used raises ValueError, or
-            # OverflowError for its port.
-            peer.is_dialing = False
-            self._on_dial_failed(peer, error)
-            return
-        if self._peers.get(peer.node) is not peer:
-            link.abort()
-        else:
-            peer.dialed_link = link
+    def on_identified(
+        self, peer: peer_module.Peer, hello: frames.Hello
+    ) -> bool:
+        """Tell whether a node that has sent its hello is the one dialed.
 
-    def _on_dial_failed(
-        self, peer: peer_module.Peer, error: Exception
-    ) -> None:
-        now = self._loop.time()
-        if peer.unreachable_since is None:
-            peer.unreachable_since = now
-            self._decisions.write(
-                "node_unreachable",
-                False,
-                peer=peer.node,
-                error=type(error).__name__,
-            )
-        peer.next_dial_at = now + peer.backoff_s * self._random.uniform(0.5, 1)
-        peer.backoff_s = min(peer_module.MAX_BACKOFF_S, peer.backoff_s * 2)
+        Otherwise the address now belongs to another node.
+        """
+        if hello.node == peer.node:
+            return True
+        self._remove(peer, "address_taken_over")
+        self.add_or_update(
+            hello.node,
+            hello.host,
+            hello.port,
+            hello.zone,
+            hello.region,
+            is_listed=False,
+        )
+        return False
 
-    def _on_outbound_frame(
+    def on_frame(
         self,
         peer: peer_module.Peer,
         link: link_module.Link,
         frame: frames.Frame,
     ) -> None:
-        if isinstance(frame, frames.Hello):
-            self._on_dialed_hello(peer, link, frame)
-        elif link.peer is None:
-            # Before its hello, the node at the other end is unknown.
-            link.abort()
-        elif isinstance(frame, frames.EndpointStatus):
+        """Handle a frame of a node to which this node opened the link."""
+        if isinstance(frame, frames.EndpointStatus):
             self._set_status(peer, frame)
         elif not self.versions.on_frame(link, frame):
             self._on_result(peer, frame)
 
-    def _on_dialed_hello(
-        self,
-        peer: peer_module.Peer,
-        link: link_module.Link,
-        hello: frames.Hello,
-    ) -> None:
-        if hello.node != peer.node:
-            # The address now belongs to another node.
-            link.abort()
-            self._remove(peer, "address_taken_over")
-            self.add_or_update(
-                hello.node,
-                hello.host,
-                hello.port,
-                hello.zone,
-                hello.region,
-                is_listed=False,
-            )
-            return
-        self._on_hello(link, hello)
-        peer.link = link
-        peer.unreachable_since = None
-        peer.backoff_s = peer_module.MIN_BACKOFF_S
-
-    def _on_outbound_end(
-        self, peer: peer_module.Peer, link: link_module.Link
-    ) -> None:
-        now = self._loop.time()
-        if peer.link is link:
-            peer.link = None
-        peer.is_dialing = False
-        peer.has_crash_reports = False
-        peer.dialed_link = None
-        peer.next_dial_at = (
-            now + peer_module.MIN_BACKOFF_S * self._random.random()
-        )
-        if peer.unreachable_since is None:
-            peer.unreachable_since = now
-        self._record_statement(peer, now)
+    def on_lost(self, peer: peer_module.Peer) -> None:
+        """Fail the offers of a link that has ended."""
+        self._record_statement(peer, self._loop.time())
         self._decisions.write("link_lost", False, peer=peer.node)
         lost, peer.exchanges = peer.exchanges, {}
         peer.reported_load = 0
@@ -332,6 +273,20 @@
             if not exchange.has_ended:
                 self.outbound_proxy.on_failure(exchange, "link_lost")
 
+    def _own_hello(self, link_number: int) -> frames.Hello:
+        settings = self._settings
+        return frames.Hello(
+            frames.PROTOCOL_VERSION,
+            settings.node,
+            self._incarnation,
+            settings.zone,
+            settings.region,
+            settings.peers.host,
+            settings.peers.port,
+            self.versions.own_version,
+            link_number,
+        )
+
     def _on_result(self, peer: peer_module.Peer, frame: frames.Frame) -> None:
         now = self._loop.time()
         if isinstance(frame, frames.Answer):
@@ -341,8 +296,9 @@
             peer.on_result(frame.status < 500, now)
             if exchange is None:
                 return
-            passed_ms = (now - exchange.offered_at) * 1000
-            peer.on_transit(passed_ms - frame.elapsed_ms)
+            if not exchange.has_changed_link:
+                passed_ms = (now - exchange.offered_at) * 1000
+                peer.on_transit(passed_ms - frame.elapsed_ms)
             if frame.body_bytes <= len(frame.body):
                 del peer.exchanges[frame.stream]
             self.outbound_proxy.on_answer(exchange, frame)
@@ -389,20 +345,18 @@
             node = link.peer.node if link.peer is not None else ""
             inbound_proxy.on_earlier_statement(frame, node)
         elif isinstance(frame, frames.Hello):
-            self._on_hello(link, frame)
-            link.send(self._own_hello())
-            link.send(inbound_proxy.status)
-            self.add_or_update(
-                frame.node,
-                frame.host,
-                frame.port,
-                frame.zone,
-                frame.region,
-                is_listed=False,
-            )
+            self._on_inbound_hello(link, frame, inbound_proxy)
+        elif isinstance(frame, frames.Resume):
+            resumption.resume(link, frame, self._inbound_links, inbound_proxy)
 
-    def _on_hello(self, link: link_module.Link, hello: frames.Hello) -> None:
+    def _on_inbound_hello(
+        self,
+        link: link_module.Link,
+        hello: frames.Hello,
+        inbound_proxy: inbound.InboundProxy,
+    ) -> None:
         link.peer = hello
+        link.number = hello.link
         if hello.protocol != frames.PROTOCOL_VERSION:
             self._decisions.write(
                 "protocol_mismatch",
@@ -413,6 +367,16 @@
             link.abort()
             return
         self.versions.compare(link, hello.configuration_version)
+        link.send(self._own_hello(hello.link))
+        link.send(inbound_proxy.status)
+        self.add_or_update(
+            hello.node,
+            hello.host,
+            hello.port,
+            hello.zone,
+            hello.region,
+            is_listed=False,
+        )
 
     def _links(self) -> Iterator[link_module.Link]:
         """Yield the dialed links whose peer has sent its hello."""
@@ -509,5 +473,7 @@
         self._peers.pop(peer.node, None)
         if peer.status is not None:
             self._by_service[peer.status.service].remove(peer)
-        if peer.link is not None:
-            peer.link.abort()
+        self._waiting_peers.discard(peer)
+        for link in (peer.dialed_link, peer.replacement):
+            if link is not None:
+                link.abort()
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -231,6 +231,7 @@
         )
 
     def tick(self):
+        self.peers.check_waiting_links()
         self.peers.tick()
         self.inbound_proxy.tick()
 
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -18,10 +18,11 @@
 
     def __init__(self):
         self.streams = {}
+        self.last_stream = 0
         self.transit = transit.DelayEstimator()
         self.frames = []
 
-    def send(self, frame):
+    def send_result(self, frame):
         self.frames.append(frame)
 
 
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -68,7 +68,7 @@
         body = b"x" * (frames.PART_BYTES * 3)
         servers[1].behave = lambda c, h, i: c.answer(i, body=body)
         (link,) = members[1].peers._inbound_links
-        send, sent = link.send, []
+        send, sent = link.send_result, []
 
         def send_until_the_end(frame):
             if isinstance(frame, frames.Answer | frames.AnswerPart):
@@ -78,7 +78,7 @@
                     return
             send(frame)
 
-        link.send = send_until_the_end
+        link.send_result = send_until_the_end
         connection, _ = harness.send(members[0], path)
         await harness.settle(2)
         ((status, _, answered),) = connection.answers
--- a/tests/sidecar/test_peers.py
+++ b/tests/sidecar/test_peers.py
@@ -28,7 +28,7 @@
         return False
 
     def send_hello(self, name="n9", protocol=frames.PROTOCOL_VERSION):
-        hello = frames.Hello(protocol, name, 1, "z1", "r1", name, 5, 0)
+        hello = frames.Hello(protocol, name, 1, "z1", "r1", name, 5, 0, 1)
         self.transport.write(frames.encode(hello))
 
 
--- a/tests/sidecar/test_versions.py
+++ b/tests/sidecar/test_versions.py
@@ -18,7 +18,7 @@
 
     def __init__(self, node):
         self.peer = frames.Hello(
-            frames.PROTOCOL_VERSION, node, 1, "z1", "r1", node, 5, 0
+            frames.PROTOCOL_VERSION, node, 1, "z1", "r1", node, 5, 0, 1
         )
         self.is_open = True
         self.sent = []
