Answer every request that a planned stop has taken

Cause: requests that outlasted a planned stop were cut when the process ended, without an answer. Late ones were taken if their deadline lay before the end, although the answer to an expired request may come 0.2 s after it. The times of a stop did not follow the grace time of the settings, and a call that a request at the backend server made late was refused, so that it failed.

Change: stop_plan derives the times from the grace time and decides which requests are taken; what still runs at the end is answered 502, and other nodes are told of it before the links close.

For 6 s of grace the times are those of before (1.4, 2.6, 5.2 s).

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -252,6 +252,11 @@
         self._apply(self._queue.refuse_all("leaving"))
         self._report_status_change(before)
 
+    def end_all(self) -> None:
+        """Report the requests that outlast a planned stop as failed."""
+        for job in list(self._jobs.values()):
+            self._fail(job, "stopping")
+
     def offer(self, sender: job_module.Sender, offer: frames.Offer) -> None:
         """Accept an offered request, or the first part of one."""
         now = self._loop.time()
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -27,6 +27,7 @@
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import registration
 from clementinekeel.sidecar import settings as settings_module
+from clementinekeel.sidecar import stop_plan
 from clementinekeel.store import calls
 
 CHECK_INTERVAL_S = 0.05
@@ -43,21 +44,13 @@
 """Descriptors reserved for links, the backend server, the store and files."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
-STOP_MARGIN_S = 0.8
-"""Time between the end of a planned stop and the kill."""
-BACKEND_DRAIN_S = 1.4
-"""Time after the signal to stop in which other nodes may still send requests
-to the backend server; the rest of ``CALLER_DRAIN_S`` is enough to answer them.
-"""
 METRICS_PATH = b"/metrics"
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Reading and comparing the file takes half a millisecond."""
 STOP_POLL_INTERVAL_S = 0.05
 """Interval of the check whether all requests are answered."""
-CALLER_DRAIN_S = 2.6
-"""Time after the signal to stop in which callers may still send requests: the
-platform checks the readiness once a second and stops sending callers to a node
-after two negative answers."""
+FLUSH_S = 0.05
+"""Time for the last answers to be sent before the process ends."""
 
 
 class Node:
@@ -352,25 +345,27 @@
 
     async def _drain(self, servers: list[asyncio.Server]) -> None:
         """Answer accepted requests, and end shortly before the kill."""
-        self._is_stopping = True
-        self._outbound_proxy.is_stopping = True
+        plan = stop_plan.plan_stop(self._settings.stop_timeout_ms / 1000)
         started_at = self._loop.time()
-        limit_s = self._settings.stop_timeout_ms / 1000 - STOP_MARGIN_S
-        self._loop.call_later(BACKEND_DRAIN_S, self._inbound_proxy.stop)
-        await asyncio.sleep(CALLER_DRAIN_S)
-        # The last requests at the backend server may still make calls.
-        self._outbound_proxy.stop_deadline = started_at + limit_s
-        while self._loop.time() - started_at < limit_s:
+        self._is_stopping = True
+        self._outbound_proxy.begin_stop(plan)
+        self._loop.call_later(plan.backend_drain_s, self._inbound_proxy.stop)
+        await asyncio.sleep(plan.caller_drain_s)
+        while self._loop.time() - started_at < plan.end_s:
             for connection in list(self._connections):
                 connection.close_idle()
             if self._inbound_proxy.is_idle:
-                self._outbound_proxy.stop_deadline = 0.0
+                # No request at the backend server can make calls any more.
+                self._outbound_proxy.refuse_new_requests()
             if self._is_idle():
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         for server in servers:
             server.close()
+        self._outbound_proxy.end_all()
+        self._inbound_proxy.end_all()
         self._peers.close()
+        await asyncio.sleep(FLUSH_S)
 
     def _is_idle(self) -> bool:
         return self._inbound_proxy.is_idle and self._outbound_proxy.is_idle
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -23,6 +23,7 @@
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
+from clementinekeel.sidecar import stop_plan
 
 TIMEOUT_GRACE_S = 0.2
 """Time after the deadline in which the backend server's own answer may still
@@ -67,8 +68,9 @@
         self._service_choice = table.WeightedChoice()
         self._active: set[exchange_module.Exchange] = set()
         self._random = random.Random()
-        self.is_stopping = False
-        self.stop_deadline: float | None = None
+        self._stop_plan: stop_plan.StopPlan | None = None
+        self._stop_began_at = 0.0
+        self._refuses_all = False
         self._dropped_headers = frozenset(
             (
                 dialect.deadline_ms,
@@ -91,6 +93,11 @@
         """Version of the configuration in force; 0 if there is none."""
         return self._table.version if self._table is not None else 0
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stop_plan is not None
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being handled."""
@@ -140,7 +147,7 @@
         exchange = exchange_module.Exchange(connection, self.cancel)
         exchange.started_at = request.started_at
         rejection = self._prepare(exchange, request)
-        if rejection is None and self._outlasts_stop(exchange):
+        if rejection is None and not self._may_take(exchange):
             rejection = 503, "stopping"
         if rejection is not None:
             status, reason = rejection
@@ -199,6 +206,21 @@
         """Handle a failure after which the request may have run."""
         self._dispatcher.on_failure(exchange, reason)
 
+    def begin_stop(self, plan: stop_plan.StopPlan) -> None:
+        """Begin a planned stop now."""
+        self._stop_plan = plan
+        self._stop_began_at = self._loop.time()
+
+    def refuse_new_requests(self) -> None:
+        """Refuse all new requests from now on."""
+        self._refuses_all = True
+
+    def end_all(self) -> None:
+        """Answer the requests that outlast a planned stop; they may run."""
+        for exchange in list(self._active):
+            self._dispatcher.cancel(exchange)
+            self._fail(exchange, 502, "stopping")
+
     def tick(self) -> None:
         """Retry the requests whose attempt has timed out.
 
@@ -264,12 +286,22 @@
         self._chain.inherit(exchange, route)
         return None
 
-    def _outlasts_stop(self, exchange: exchange_module.Exchange) -> bool:
-        """Tell whether a request may last longer than a planned stop."""
-        stop_deadline = self.stop_deadline
-        return (
-            stop_deadline is not None and exchange.expires_at > stop_deadline
-        )
+    def _may_take(self, exchange: exchange_module.Exchange) -> bool:
+        """Tell whether a planned stop leaves enough time for a request.
+
+        A call that a request at the backend server makes is always taken:
+        without it, that request would fail.
+        """
+        plan = self._stop_plan
+        if plan is None:
+            return True
+        if self._refuses_all:
+            return False
+        if exchange.parent_job is not None:
+            return True
+        now = self._loop.time()
+        lasts_s = exchange.expires_at + TIMEOUT_GRACE_S - now
+        return plan.may_take(now - self._stop_began_at, lasts_s)
 
     def _deliver(self, exchange: exchange_module.Exchange) -> None:
         answer = exchange.answer
--- /dev/null
+++ b/src/clementinekeel/sidecar/stop_plan.py
@@ -0,0 +1,69 @@
+"""Times of a planned stop, and which requests are still taken during it."""
+
+from typing import NamedTuple
+
+MAX_KILL_MARGIN_S = 0.8
+"""Time between the last answers and the kill; on a busy VM, a process needs
+some tenths of a second to end."""
+KILL_MARGIN_SHARE = 0.25
+"""Largest share of the grace time for that margin."""
+MAX_CALLER_DRAIN_S = 2.6
+"""Time in which callers still send new requests: the platform checks the
+readiness once a second and stops sending callers to a node after two negative
+answers."""
+CALLER_DRAIN_SHARE = 0.5
+"""Largest share of the time before the end; the rest is for their answers."""
+BACKEND_DRAIN_SHARE = 0.54
+"""Part of the time for callers in which other nodes may still send requests
+to the backend server; the rest is enough to answer them."""
+
+
+class StopPlan(NamedTuple):
+    """Times of a planned stop, in seconds after the signal.
+
+    Attributes
+    ----------
+    backend_drain_s : float
+        Until when other nodes may send requests to the backend server.
+    caller_drain_s : float
+        Until when all new requests of callers are taken.
+    end_s : float
+        When the last requests are answered and the process ends.
+    """
+
+    backend_drain_s: float
+    caller_drain_s: float
+    end_s: float
+
+    def may_take(self, since_stop_s: float, lasts_s: float) -> bool:
+        """Tell whether a new request of a caller is taken.
+
+        Requests that arrive while callers are being sent elsewhere are taken,
+        since nearly all are answered long before their deadline. Later ones
+        must be sure of an answer before the process ends.
+
+        Parameters
+        ----------
+        since_stop_s : float
+            Time since the signal.
+        lasts_s : float
+            Time after which the request has been answered in any case.
+        """
+        if since_stop_s < self.caller_drain_s:
+            return True
+        return since_stop_s + lasts_s <= self.end_s
+
+
+def plan_stop(grace_s: float) -> StopPlan:
+    """Plan a stop.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time between the signal and the kill.
+    """
+    end_s = grace_s - min(MAX_KILL_MARGIN_S, KILL_MARGIN_SHARE * grace_s)
+    caller_drain_s = min(MAX_CALLER_DRAIN_S, CALLER_DRAIN_SHARE * end_s)
+    return StopPlan(
+        BACKEND_DRAIN_SHARE * caller_drain_s, caller_drain_s, end_s
+    )
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -96,10 +96,11 @@
         )
         return answer.status == 200
 
-    async def request(self, number, path=b"/a/x"):
+    async def request(self, number, path=b"/a/x", timeout_s=5.0):
         return await call(
             self.settings.outbound,
             b"GET %s HTTP/1.1\r\nHost: h\r\nId: r%d\r\n\r\n" % (path, number),
+            timeout_s,
         )
 
 
@@ -223,6 +224,49 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
+@pytest.mark.parametrize("sent_s", [0.5, 2.5, 3.9, 4.05, 4.15, 4.5, 5.1])
+def test_every_request_of_a_planned_stop_is_answered(run_node, sent_s, path):
+    """Some were cut at the end of the grace, with no answer.
+
+    The endpoint is silent, so that each request lasts until its timeout; an
+    earlier one keeps the node from stopping sooner.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        environment.behave = lambda c, h, i: None
+        environment.node._outbound_proxy.activate(
+            harness.routing_table(
+                2,
+                (
+                    harness.ROUTE,
+                    harness.NON_IDEMPOTENT_ROUTE,
+                    harness.ROUTE._replace(prefix="/long/", timeout_ms=30_000),
+                ),
+            )
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(0.2)
+        long_request = asyncio.ensure_future(
+            environment.request(1, b"/long/x", timeout_s=10.0)
+        )
+        await harness.settle(sent_s - 0.2)
+        assert not environment.task.done()
+        answer = await environment.request(2, path)
+        assert isinstance(answer, http1.Answer)
+        has_run = len(environment.server.requests) > 1
+        assert answer.status == (504 if has_run else 503)
+        long_answer = await long_request
+        assert isinstance(long_answer, http1.Answer)
+        assert long_answer.status == 502
+        async with asyncio.timeout(6):
+            await environment.task
+
+    run_node(scenario)
+
+
 def test_settings_that_change_without_a_signal_are_reloaded(run_node):
     async def scenario(environment):
         await environment.heartbeat()
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -7,6 +7,7 @@
 from clementinekeel.nodes import frames
 from clementinekeel.routing import placement
 from clementinekeel.routing import table
+from clementinekeel.sidecar import stop_plan
 from tests import memory_loop
 from tests.sidecar import harness
 
@@ -297,7 +298,7 @@
         servers[1].behave, servers[2].behave = answer_late, refuse_all
         connection, _ = harness.send(members[0])
         await harness.settle(0.1)
-        members[0].outbound_proxy.is_stopping = True
+        members[0].outbound_proxy.begin_stop(stop_plan.plan_stop(6.0))
         await wait_with_ticks(members[0], 0.8)
         assert [status for status, _, _ in connection.answers] == [200]
 
--- /dev/null
+++ b/tests/sidecar/test_stop_plan.py
@@ -0,0 +1,33 @@
+"""Times of a planned stop for the grace times of all deployments."""
+
+import pytest
+
+from clementinekeel.sidecar import stop_plan
+
+GRACE_TIMES = pytest.mark.parametrize("grace_s", [0.5, 2.0, 6.0, 10.0, 30.0])
+
+
+@GRACE_TIMES
+def test_times_are_in_order_and_before_the_kill(grace_s):
+    """With fixed times, a short grace ended while callers were taken."""
+    plan = stop_plan.plan_stop(grace_s)
+    assert 0 < plan.backend_drain_s < plan.caller_drain_s < plan.end_s
+    assert plan.end_s < grace_s
+
+
+@GRACE_TIMES
+@pytest.mark.parametrize("lasts_s", [0.2, 1.5, 4.0, 8.2])
+def test_late_request_is_taken_only_if_it_ends_in_time(grace_s, lasts_s):
+    """A request of 4 s was taken late in the grace and cut at its end."""
+    plan = stop_plan.plan_stop(grace_s)
+    since_stop_s = plan.caller_drain_s
+    while since_stop_s < plan.end_s:
+        if plan.may_take(since_stop_s, lasts_s):
+            assert since_stop_s + lasts_s <= plan.end_s
+        since_stop_s += 0.05
+
+
+def test_early_request_is_taken_whatever_its_deadline():
+    """Nearly all are answered long before, and callers can't go elsewhere."""
+    plan = stop_plan.plan_stop(6.0)
+    assert plan.may_take(plan.caller_drain_s - 0.01, 5.0)
