Never use a backend server again that has left

Cause: the entry of a node kept naming its backend server after that had left. A restarted node checked its health and used it again if the answer was 200, which a server that leaves may still give; a late heartbeat had the same effect.

Change: the entry states that the backend server leaves, at one write each. A restarted node refuses that incarnation, and still finds the server that has started in its place by its health check.

Measured: the new test fails before for a server that drains and for one that has left, and passes.

--- a/src/clementinekeel/membership/heartbeats.py
+++ b/src/clementinekeel/membership/heartbeats.py
@@ -108,6 +108,14 @@
             self._has_stated_leaving = True
             self._latest = self._latest._replace(state=EndpointState.DRAINING)
 
+    def has_left(self, endpoint: str) -> bool:
+        """Tell whether the last backend server of an identity has left."""
+        return endpoint in self._removed_incarnations_ms
+
+    def refuse(self, endpoint: str, incarnation_ms: int) -> None:
+        """Refuse heartbeats of an incarnation that has left."""
+        self._removed_incarnations_ms[endpoint] = incarnation_ms
+
     def remove(self, endpoint: str, now: float) -> bool:
         """Remove a backend server that leaves; return whether it was known.
 
@@ -123,7 +131,7 @@
         if current.is_from_health_check:
             self._refused_until[endpoint] = now + LATE_HEARTBEAT_S
         else:
-            self._removed_incarnations_ms[endpoint] = current.incarnation_ms
+            self.refuse(endpoint, current.incarnation_ms)
         return True
 
 
--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -83,6 +83,13 @@
             state=heartbeats.EndpointState.READY,
             warm_up_left_ms=0,
         )
+        if entry.is_leaving:
+            heartbeat = heartbeat._replace(
+                state=heartbeats.EndpointState.DRAINING
+            )
+            self._inbound_proxy.on_earlier_departure(
+                entry.endpoint, entry.incarnation_ms
+            )
         self._candidate = heartbeat
         if entry.health_path:
             loop = asyncio.get_running_loop()
@@ -149,7 +156,8 @@
             # The backend server fails or leaves; its heartbeats decide.
             return
         if health.endpoint == earlier.endpoint:
-            self._accept(earlier, earlier)
+            if earlier.state is heartbeats.EndpointState.READY:
+                self._accept(earlier, earlier)
         elif earlier.service == self._service:
             self._accept(earlier, _replacement(earlier, health.endpoint))
 
@@ -193,6 +201,7 @@
     """
     return earlier._replace(
         endpoint=endpoint,
+        state=heartbeats.EndpointState.READY,
         incarnation_ms=earlier.incarnation_ms + 1,
         sequence=0,
         warm_up_left_ms=ASSUMED_WARM_UP_MS,
--- a/src/clementinekeel/sidecar/entry.py
+++ b/src/clementinekeel/sidecar/entry.py
@@ -26,6 +26,9 @@
     slots: decoding.Count = 0
     incarnation_ms: decoding.Number = 0
     sequence: decoding.Number = 0
+    # Whether its leaving was acknowledged; a health check of a backend server
+    # that leaves may still succeed.
+    is_leaving: bool = False
     # Requests that crash the endpoints of the service, so that a restarted
     # node refuses them even if all nodes of the service were restarted.
     refused: Annotated[
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -230,6 +230,14 @@
             self._apply(self._queue.refuse_all("leaving"))
             self._report_status_change(before)
 
+    def has_left(self, endpoint: str) -> bool:
+        """Tell whether a backend server has left since this node started."""
+        return self._heartbeats.has_left(endpoint)
+
+    def on_earlier_departure(self, endpoint: str, started_ms: int) -> None:
+        """Never use a backend server that an earlier process saw leave."""
+        self._heartbeats.refuse(endpoint, started_ms)
+
     def on_earlier_statement(
         self, statement: frames.EarlierStatement, node: str
     ) -> None:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -109,6 +109,7 @@
             self._peers,
             self._decisions,
             lambda: self._inbound_proxy.latest_heartbeat,
+            self._inbound_proxy.has_left,
             self._outbound_proxy.health_path,
             self._on_earlier_entry,
         )
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import random
 
+import msgspec
+
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import decoding
@@ -54,6 +56,8 @@
     ----------
     latest_heartbeat : callable
         Returns the newest heartbeat of the backend server, or None.
+    has_left : callable
+        Tells whether a backend server has left, by its identity.
     health_path : callable
         Returns the path of a service's health check.
     on_earlier_entry : callable
@@ -67,6 +71,7 @@
         peers: peers_module.Peers,
         decisions: decision_log.DecisionLog,
         latest_heartbeat: Callable[[], heartbeats.Heartbeat | None],
+        has_left: Callable[[str], bool],
         health_path: Callable[[str], str],
         on_earlier_entry: Callable[[entry_module.Entry], None],
     ) -> None:
@@ -74,6 +79,7 @@
         self._lease_ms = max(LEASE_MS, settings.lease_min_ms)
         self._settings = settings
         self._latest_heartbeat = latest_heartbeat
+        self._has_left = has_left
         self._health_path = health_path
         self._on_earlier_entry = on_earlier_entry
         self._written_entry: entry_module.Entry | None = None
@@ -239,7 +245,11 @@
         )
         entry.refused = self._peers.crash_reports.lasting_refusals
         heartbeat = self._latest_heartbeat()
+        written = self._written_entry
         if heartbeat is not None:
+            entry.is_leaving = (
+                heartbeat.state is heartbeats.EndpointState.DRAINING
+            )
             entry.endpoint, entry.service = (
                 heartbeat.endpoint,
                 heartbeat.service,
@@ -247,14 +257,18 @@
             entry.slots, entry.sequence = heartbeat.slots, heartbeat.sequence
             entry.incarnation_ms = heartbeat.incarnation_ms
             entry.health_path = self._health_path(heartbeat.service)
+        elif written is not None and self._has_left(written.endpoint):
+            entry = msgspec.structs.replace(
+                written, refused=entry.refused, is_leaving=True
+            )
         return entry
 
     def _is_current(self, written: entry_module.Entry) -> bool:
         """Tell whether an entry is up to date, its sequence number aside."""
         entry = self._build_entry()
         if not entry.endpoint:
-            # The entry may still name a backend server that has left: after a
-            # restart, a health check verifies it before it is used.
+            # The entry may name the backend server of an earlier process,
+            # which has not sent a heartbeat to this one yet.
             return True
         entry.sequence = written.sequence
         return entry == written
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -90,6 +90,10 @@
         head = b"PUT /endpoints/e-n1 HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
         return await call(self.settings.heartbeats, head % len(body) + body)
 
+    async def leave(self):
+        head = b"DELETE /endpoints/e-n1 HTTP/1.1\r\n\r\n"
+        return await call(self.settings.heartbeats, head)
+
     async def is_ready(self):
         answer = await call(
             self.settings.readiness, b"GET /ready HTTP/1.1\r\n\r\n"
@@ -322,6 +326,58 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("how", ["draining", "left"])
+def test_backend_server_that_leaves_is_not_used_after_a_restart(run_node, how):
+    """A server that leaves may still answer its health check, and one of its
+    heartbeats may be late. Both brought it back in use.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        if how == "left":
+            await environment.leave()
+        else:
+            await environment.heartbeat(2, "draining")
+        await harness.settle(1)
+        restarted = node.Node(environment.settings, environment.adapter())
+        (item,) = (
+            await environment.store.read(environment.node._registration._key)
+        ).items
+        entry = restarted._registration._decode_earlier(item)
+        restarted._on_earlier_entry(entry)
+        await harness.settle(2)
+        assert not restarted._inbound_proxy.status.is_accepting
+        for sequence in (1, 3):
+            restarted._on_heartbeat(harness.heartbeat("n1", sequence))
+            await harness.settle(0.5)
+            assert not restarted._inbound_proxy.status.is_accepting
+        successor = harness.heartbeat("n1", incarnation_ms=2)
+        restarted._on_heartbeat(successor)
+        restarted._on_heartbeat(successor._replace(sequence=2))
+        assert restarted._inbound_proxy.status.is_accepting
+
+    run_node(scenario)
+
+
+def test_server_that_replaced_one_that_left_is_used(run_node):
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        await environment.leave()
+        await harness.settle(1)
+        environment.instance = b"e-new"
+        restarted = node.Node(environment.settings, environment.adapter())
+        restarted._on_earlier_entry(
+            environment.node._registration._written_entry
+        )
+        await harness.settle(0.1)
+        assert restarted._inbound_proxy.latest_heartbeat.endpoint == "e-new"
+        assert restarted._inbound_proxy.status.is_accepting
+
+    run_node(scenario)
+
+
 async def restart_with_new_backend_server(environment, **changes):
     """Start a node and a backend server as after a loss of power.
 
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -138,6 +138,7 @@
         member.peers,
         member.log,
         lambda: member.inbound_proxy.latest_heartbeat,
+        member.inbound_proxy.has_left,
         lambda service: "/health",
         on_earlier,
     )
