Take the time of a pause off what was allowed before it

Cause: a process that had been paused read an offer seconds after it was sent and ran it with all of its time; the estimate of lateness on a link starts anew after four seconds of rest. A caller's request was passed on with too much time in the same way. While a VM is suspended its steady clock stands still, so that deadlines, links and watches lasted longer than for others.

Change: a detector compares the checks with the loop's clock and the clock since boot. What is read after a pause counts as sent before it, deadlines come forward by the time of a suspension, links are not taken for silent, and connections to the store are opened anew after a second.

--- a/src/clementinekeel/admission/slot_queue.py
+++ b/src/clementinekeel/admission/slot_queue.py
@@ -192,6 +192,18 @@
         self._heap.clear()
         return Changes([], refused)
 
+    def bring_forward(self, seconds: float) -> None:
+        """Bring the deadlines of waiting requests forward."""
+        self._waiting = {
+            number: request._replace(expires_at=request.expires_at - seconds)
+            for number, request in self._waiting.items()
+        }
+        self._heap = [
+            (*_sort_key(request), request)
+            for request in self._waiting.values()
+        ]
+        heapq.heapify(self._heap)
+
     def expire(self, now: float) -> Changes:
         """Refuse waiting requests that can't be answered in time."""
         late = [
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -18,6 +18,7 @@
 from clementinekeel.nodes import frames
 from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import pauses as pauses_module
 from clementinekeel.sidecar import backend_statements
 from clementinekeel.sidecar import crash_detection
 from clementinekeel.sidecar import crash_reports as crash_reports_module
@@ -88,6 +89,8 @@
         Returns the number of known nodes, 0 before their list was read.
     crash_reports : CrashReports
         Tells which requests crash the endpoints of the service.
+    pauses : PauseDetector
+        Tells how late this process reads what was sent to it.
     """
 
     def __init__(
@@ -99,7 +102,9 @@
         metrics: metrics_module.NodeMetrics,
         count_nodes: Callable[[], int],
         crash_reports: crash_reports_module.CrashReports,
+        pauses: pauses_module.PauseDetector,
     ) -> None:
+        self._pauses = pauses
         self._metrics = metrics
         self._crash_reports = crash_reports
         self._settings = settings
@@ -268,7 +273,10 @@
     def offer(self, sender: job_module.Sender, offer: frames.Offer) -> None:
         """Accept an offered request, or the first part of one."""
         now = self._loop.time()
-        excess_ms = sender.transit.excess_ms(offer.sent_ms, now)
+        excess_ms = max(
+            sender.transit.excess_ms(offer.sent_ms, now),
+            self._pauses.lateness_s * 1000,
+        )
         expires_at = now + (offer.remaining_ms - excess_ms) / 1000
         job = job_module.Job(sender, offer, expires_at, now)
         sender.streams[offer.stream] = job
@@ -309,6 +317,13 @@
         for stream in list(sender.streams):
             self.cancel(sender, stream)
 
+    def on_suspended(self, seconds: float) -> None:
+        """Bring deadlines forward, since the clock stood still meanwhile."""
+        for job in self._jobs.values():
+            job.expires_at -= seconds
+        self._queue.bring_forward(seconds)
+        self._apply(self._queue.expire(self._loop.time()))
+
     def tick(self) -> None:
         """Refuse requests that can't be answered in time; prune the pool."""
         self._apply(self._queue.expire(self._loop.time()))
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -15,6 +15,7 @@
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import errors
+from clementinekeel.runtime import pauses
 from clementinekeel.sidecar import adapter as adapter_module
 from clementinekeel.sidecar import backend_verification
 from clementinekeel.sidecar import chain
@@ -35,8 +36,9 @@
 250 ms at least, and for links that have gone silent."""
 CHECKS_PER_ROUND = 5
 """Checks after which idle links, queues and idle connections are checked."""
-MIN_PAUSE_S = 0.1
-"""Delay of a check after which the process counts as paused."""
+STALE_PAUSE_S = 1.0
+"""Pause after which connections to the store are opened anew: they may have
+ended meanwhile, and a change may have been missed."""
 BACKLOG = 1024
 """Connections that may wait to be accepted; a full backlog delays a caller by
 seconds."""
@@ -67,6 +69,9 @@
         self._decisions = decision_log.DecisionLog(settings.node)
         self._metrics = metrics.NodeMetrics()
         incarnation = random.SystemRandom().getrandbits(53)
+        self._pauses = pauses.PauseDetector(
+            self._loop.time, pauses.seconds_since_boot, CHECK_INTERVAL_S
+        )
         self._peers = peers_module.Peers(
             settings,
             incarnation,
@@ -81,6 +86,7 @@
             self._metrics,
             lambda: self._peers.node_count,
             self._peers.crash_reports,
+            self._pauses,
         )
         self._chain = chain.ChainPolicy(
             settings,
@@ -96,6 +102,7 @@
             self._has_memory_for,
             self._chain,
             self._metrics,
+            self._pauses,
         )
         self._peers.attach(self._inbound_proxy, self._outbound_proxy)
         self._connections: set[http1.ServerConnection] = set()
@@ -291,11 +298,10 @@
 
     async def _run_checks(self) -> None:
         for number in itertools.count():
-            due_at = self._loop.time() + CHECK_INTERVAL_S
             await asyncio.sleep(CHECK_INTERVAL_S)
-            pause_s = self._loop.time() - due_at
-            if pause_s > MIN_PAUSE_S:
-                self._peers.postpone_checks(pause_s)
+            pause = self._pauses.check()
+            if pause is not None:
+                self._on_pause(pause)
             self._peers.check_waiting_links()
             self._outbound_proxy.tick()
             if number % CHECKS_PER_ROUND:
@@ -306,6 +312,21 @@
             for connection in list(self._connections):
                 connection.check_timeouts(now)
 
+    def _on_pause(self, pause: pauses.Pause) -> None:
+        """Make up for a time in which the process did not run."""
+        self._peers.postpone_checks(pause.stalled_s)
+        if pause.suspended_s:
+            self._outbound_proxy.on_suspended(pause.suspended_s)
+            self._inbound_proxy.on_suspended(pause.suspended_s)
+        if pause.total_s > STALE_PAUSE_S:
+            self._store_connections.abort_all()
+            self._decisions.write(
+                "process_paused",
+                False,
+                stalled_ms=round(pause.stalled_s * 1000),
+                suspended_ms=round(pause.suspended_s * 1000),
+            )
+
     async def _handle_signals(self) -> None:
         """Handle signals until the end of the process.
 
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -17,6 +17,7 @@
 from clementinekeel.routing import table
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import decoding
+from clementinekeel.runtime import pauses as pauses_module
 from clementinekeel.sidecar import chain as chain_module
 from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
@@ -44,6 +45,8 @@
     ----------
     has_memory_for : callable
         Tells whether a body of a size in bytes may be held in memory.
+    pauses : PauseDetector
+        Tells how late this process reads what was sent to it.
     """
 
     def __init__(
@@ -55,7 +58,9 @@
         has_memory_for: Callable[[int], bool],
         chain: chain_module.ChainPolicy,
         metrics: metrics_module.NodeMetrics,
+        pauses: pauses_module.PauseDetector,
     ) -> None:
+        self._pauses = pauses
         self._metrics = metrics
         self._settings = settings
         self._dialect = dialect
@@ -145,7 +150,7 @@
     ) -> exchange_module.Exchange | None:
         """Start to handle a request, or refuse it."""
         exchange = exchange_module.Exchange(connection, self.cancel)
-        exchange.started_at = request.started_at
+        exchange.started_at = request.started_at - self._pauses.lateness_s
         rejection = self._prepare(exchange, request)
         if rejection is None and not self._may_take(exchange):
             rejection = 503, "stopping"
@@ -215,6 +220,16 @@
         """Refuse all new requests from now on."""
         self._refuses_all = True
 
+    def on_suspended(self, seconds: float) -> None:
+        """Bring deadlines forward, since the clock stood still meanwhile."""
+        for exchange in self._active:
+            exchange.expires_at -= seconds
+            if exchange.timer is not None:
+                exchange.timer.cancel()
+            exchange.timer = self._loop.call_at(
+                exchange.expires_at + TIMEOUT_GRACE_S, self._time_out, exchange
+            )
+
     def end_all(self) -> None:
         """Answer the requests that outlast a planned stop; they may run."""
         for exchange in list(self._active):
--- a/tests/admission/test_slot_queue.py
+++ b/tests/admission/test_slot_queue.py
@@ -254,3 +254,15 @@
     queue.start_waiting(NOW + 0.1)
     queue.offer(make_request(2, remaining_s=5), NOW + 0.1)
     assert queue.next_start_at(NOW + 0.1) is None
+
+
+def test_deadlines_that_are_brought_forward_keep_the_order():
+    """A queue that outlived a suspension of its VM ran expired requests."""
+    queue = slot_queue.SlotQueue(1)
+    for number, rank in ((1, 0), (2, 2), (3, 0)):
+        queue.offer(slot_queue.SlotRequest(number, rank, 0.0, 5.0), 0.0)
+    queue.bring_forward(2.0)
+    assert queue.expire(2.0).refused == []
+    assert queue.finish(1, 2.0, None).admitted == [3]
+    late = queue.expire(3.0).refused
+    assert [refusal.number for refusal in late] == [2]
--- a/tests/sidecar/harness.py
+++ b/tests/sidecar/harness.py
@@ -171,6 +171,12 @@
         self.behave(connection, headers, headers[b"id"])
 
 
+class NoPauses:
+    """Takes the place of a detector in a process that is never paused."""
+
+    lateness_s = 0.0
+
+
 class Member:
     """A member of the fleet: a node without its store and HTTP listeners."""
 
@@ -185,6 +191,7 @@
             **changes,
         )
         self.log = RecordingLog()
+        self.pauses = NoPauses()
         self.metrics = metrics.NodeMetrics()
         self.peers = peers.Peers(
             self.settings,
@@ -200,6 +207,7 @@
             self.metrics,
             lambda: self.peers.node_count,
             self.peers.crash_reports,
+            self.pauses,
         )
         self.chain = chain.ChainPolicy(
             self.settings,
@@ -215,6 +223,7 @@
             lambda size: True,
             self.chain,
             self.metrics,
+            self.pauses,
         )
         self.peers.attach(self.inbound_proxy, self.outbound_proxy)
         self.outbound_proxy.activate(routing_table())
