Let the kernel probe connections to the backend server

Cause: a connection to the backend server that went silent held its request until the timeout, and stayed in the pool for half of the keep-alive time.

Change: probes end it after two seconds; an idempotent request then runs elsewhere, any other one fails as unknown.

--- a/src/clementinekeel/backends/local.py
+++ b/src/clementinekeel/backends/local.py
@@ -4,10 +4,14 @@
 
 from clementinekeel.backends import _answer_memory
 from clementinekeel.backends import http1
+from clementinekeel.runtime import sockets
 
 CONNECT_TIMEOUT_S = 0.5
 """The backend server is on the same VM; if it does not accept a connection in
 this time, it is down."""
+SILENCE_LIMITS = sockets.SilenceLimits(unacknowledged_ms=2_000, probes=1)
+"""The backend server is on the same VM, where no packet is lost. A silent
+connection ends after two seconds instead of the timeout of its request."""
 MAX_NON_IDEMPOTENT_IDLE_S = 1.0
 """Longest idle time of a connection for a non-idempotent request.
 
@@ -121,11 +125,12 @@
             If the backend server can't be reached in time.
         """
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await self._loop.create_connection(
+            transport, connection = await self._loop.create_connection(
                 lambda: http1.HttpConnection(self._id_header, self._memory),
                 self._host,
                 self._port,
             )
+        sockets.limit_silence(transport, SILENCE_LIMITS)
         return connection
 
     def release(self, connection: http1.HttpConnection) -> None:
