Keep a silent endpoint's run until another one answers

Cause: when an idempotent request was offered to a second endpoint, the first offer was taken back at once.

Change: both offers stay until one is answered; a refusal or a failure of one leaves the other. An offer keeps its own partial answer, so that parts of two answers can't be mixed. At most two endpoints work on a request at once.

--- a/src/clementinekeel/sidecar/dialer.py
+++ b/src/clementinekeel/sidecar/dialer.py
@@ -235,9 +235,8 @@
         peer.has_crash_reports = False
         known = (*peer.silent_links, silent.number)
         peer.silent_links = known[-MAX_RESUMED_LINKS:]
-        for exchange in peer.exchanges.values():
-            exchange.discard_partial_answer()
-            exchange.has_changed_link = True
+        for stream, exchange in peer.exchanges.items():
+            exchange.pending[stream].on_link_replaced()
         link.send(frames.Resume(peer.silent_links, tuple(peer.exchanges)))
         self._decisions.write(
             "link_replaced",
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -17,6 +17,7 @@
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import peers as peers_module
+from clementinekeel.sidecar import pending_offer
 
 MAX_OFFERS = 4
 """Maximum number of endpoints to which a request is offered; a refusal takes
@@ -24,6 +25,8 @@
 MAX_OFFERS_WITH_RETRIES = 10
 """Maximum number of offers of a request, including those after which it may
 have arrived at a backend server; the retry budget bounds the retries."""
+MAX_PENDING = 2
+"""Endpoints that work on a request at the same time."""
 MIN_REMAINING_S = 0.02
 """No endpoint can answer a request with less time than this before its
 deadline."""
@@ -86,21 +89,34 @@
         self._send(exchange, route, peer)
 
     def cancel(self, exchange: exchange_module.Exchange) -> None:
-        """Cancel a request at the endpoint to which it was offered."""
-        peer, exchange.peer = exchange.peer, None
-        if peer is not None:
-            peer.cancel(exchange.stream)
+        """Cancel a request at the endpoints to which it is offered."""
+        pending, exchange.pending = exchange.pending, {}
+        for stream, offer in pending.items():
+            offer.peer.cancel(stream)
+
+    def cancel_others(
+        self, exchange: exchange_module.Exchange, stream: int
+    ) -> None:
+        """Cancel all offers of a request but one."""
+        if len(exchange.pending) > 1:
+            kept = exchange.pending.pop(stream)
+            self.cancel(exchange)
+            exchange.pending[stream] = kept
 
     def on_refusal(
         self, exchange: exchange_module.Exchange, refusal: frames.Refusal
     ) -> None:
-        """Offer a refused request to another endpoint, or refuse it."""
-        peer, exchange.peer = exchange.peer, None
+        """Offer a refused request to another endpoint, or refuse it.
+
+        While another endpoint may still be at work on it, that one is waited
+        for.
+        """
+        offer = exchange.pending.pop(refusal.stream)
         exchange.last_reason = refusal.reason
-        if refusal.reason == frames.NOT_RECEIVED and peer is not None:
+        if refusal.reason == frames.NOT_RECEIVED:
             # The endpoint knows nothing of the request, and may get it.
             exchange.offers -= 1
-            exchange.tried_nodes.discard(peer.node)
+            exchange.tried_nodes.discard(offer.peer.node)
         if refusal.reason in BACKEND_REFUSAL_REASONS:
             exchange.backend_arrivals += 1
             # The backend server may accept the request a moment later.
@@ -110,6 +126,8 @@
         exchange.retry_after_ms = (
             min(shortest_ms, hint_ms) if shortest_ms else hint_ms
         )
+        if exchange.pending:
+            return
         if refusal.reason == frames.QUARANTINED:
             exchange.retry_after_ms = hint_ms
             self._give_up(exchange, refusal.reason)
@@ -117,14 +135,16 @@
         self.offer(exchange)
 
     def on_failure(
-        self, exchange: exchange_module.Exchange, reason: str
+        self, exchange: exchange_module.Exchange, stream: int, reason: str
     ) -> None:
         """Retry an idempotent request; give up any other one.
 
         The outcome of a request that is not idempotent is then unknown.
         """
-        self._record_failure(exchange)
+        self._record_failure(exchange, exchange.pending.pop(stream))
         exchange.last_reason = reason
+        if exchange.pending:
+            return
         if exchange.route is not None and exchange.route.is_idempotent:
             self.offer(exchange)
         else:
@@ -160,20 +180,18 @@
         now = self._loop.time()
         remaining_ms = round((exchange.expires_at - now) * 1000)
         exchange.offers += 1
-        exchange.offered_at = now
-        exchange.has_changed_link = False
         exchange.tried_nodes.add(peer.node)
-        exchange.peer = peer
         if route.is_idempotent:
             wait_ms = attempt_timeout.timeout_ms(
                 peer.service_ms, peer.transit_ms, remaining_ms
             )
             exchange.attempt_timeout_at = now + wait_ms / 1000
         self._last_stream += 1
-        exchange.stream = self._last_stream
+        stream = self._last_stream
+        exchange.pending[stream] = pending_offer.PendingOffer(peer, now)
         body = exchange.body
         offer = frames.Offer(
-            exchange.stream,
+            stream,
             peer.endpoint,
             exchange.request_id,
             round(now * 1000),
@@ -192,8 +210,15 @@
         peer.offer(offer, body, exchange)
 
     def _retry_elsewhere(self, exchange: exchange_module.Exchange) -> None:
-        route, silent_peer = exchange.route, exchange.peer
-        if route is None or silent_peer is None or exchange.answer is not None:
+        """Offer a request to a second endpoint beside a silent one.
+
+        The first one to answer counts. The silent one may still be at work,
+        and the second one may refuse the request.
+        """
+        route, pending = exchange.route, list(exchange.pending.items())
+        if route is None or not pending:
+            return
+        if any(offer.answer is not None for _, offer in pending):
             return
         other = self._choose(exchange, route)
         if other is None or not attempt_timeout.has_spare_slots(
@@ -204,22 +229,25 @@
             exchange, route, uncounted_runs=1
         ):
             return
-        silent_peer.on_result(False, self._loop.time())
-        self.cancel(exchange)
-        self._record_failure(exchange, silent_peer)
+        _, silent = pending[-1]
+        silent.peer.on_result(False, self._loop.time())
+        self._record_failure(exchange, silent)
+        silent.is_overdue = True
+        if len(pending) >= MAX_PENDING:
+            stream, oldest = pending[0]
+            del exchange.pending[stream]
+            oldest.peer.cancel(stream)
         exchange.last_reason = "silent"
         self._send(exchange, route, other)
 
     def _record_failure(
         self,
         exchange: exchange_module.Exchange,
-        peer: peer_module.Peer | None = None,
+        offer: pending_offer.PendingOffer,
     ) -> None:
         """Record that an attempt failed, although the request may have run."""
-        failed = peer or exchange.peer
-        if failed is not None:
-            exchange.failed_nodes.add(failed.node)
-        exchange.discard_partial_answer()
-        exchange.peer = None
+        if offer.is_overdue:
+            return
+        exchange.failed_nodes.add(offer.peer.node)
         exchange.backend_arrivals += 1
         exchange.possible_runs += 1
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -7,7 +7,7 @@
 from clementinekeel.nodes import frames
 from clementinekeel.routing import table
 from clementinekeel.sidecar import job as job_module
-from clementinekeel.sidecar import peer as peer_module
+from clementinekeel.sidecar import pending_offer
 
 
 class Exchange:
@@ -19,10 +19,9 @@
         When the caller stops waiting, in seconds of the runtime's clock.
     fingerprint : int
         Equal for requests that only differ in their identifier.
-    peer : Peer or None
-        Node to which the request is offered now.
-    stream : int
-        Identifies the present offer on the link to that node.
+    pending : dict of int to PendingOffer
+        Offers without a result, by stream, in the order in which they were
+        made.
     depth : int
         Calls above this request in its call chain.
     parent_job : Job or None
@@ -47,12 +46,8 @@
         Shortest retry delay that a refusal stated; 0 if there was none.
     last_reason : str
         Reason of the last refusal or failure; empty before.
-    offered_at : float
-        When the present offer was made.
-    has_changed_link : bool
-        Whether the link of the present offer has been replaced.
-    missing_answer_bytes : int
-        Bytes of the answer's body that have not arrived.
+    answer : Answer or None
+        First part of the answer that the caller got.
     """
 
     def __init__(
@@ -72,8 +67,7 @@
         self.started_at = 0.0
         self.expires_at = 0.0
         self.has_ended = False
-        self.peer: peer_module.Peer | None = None
-        self.stream = 0
+        self.pending: dict[int, pending_offer.PendingOffer] = {}
         self.rank = 0
         self.chain_age_ms = 0
         self.depth = 0
@@ -89,11 +83,7 @@
         self.possible_runs = 0
         self.retry_after_ms = 0
         self.last_reason = ""
-        self.offered_at = 0.0
-        self.has_changed_link = False
         self.answer: frames.Answer | None = None
-        self.answer_parts: list[bytes] = []
-        self.missing_answer_bytes = 0
         self.timer: asyncio.TimerHandle | None = None
 
     @property
@@ -104,9 +94,3 @@
     def cancel(self) -> None:
         """End the request, since its caller has closed the connection."""
         self._on_cancel(self)
-
-    def discard_partial_answer(self) -> None:
-        """Discard the parts of an incomplete answer."""
-        self.answer = None
-        self.answer_parts = []
-        self.missing_answer_bytes = 0
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -23,6 +23,7 @@
 from clementinekeel.sidecar import exchange as exchange_module
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import peers as peers_module
+from clementinekeel.sidecar import pending_offer
 from clementinekeel.sidecar import settings as settings_module
 from clementinekeel.sidecar import stop_plan
 
@@ -185,19 +186,20 @@
         self, exchange: exchange_module.Exchange, answer: frames.Answer
     ) -> None:
         """Handle an answer, or the first part of one."""
-        exchange.answer = answer
-        exchange.missing_answer_bytes = answer.body_bytes - len(answer.body)
-        if exchange.missing_answer_bytes <= 0:
-            self._deliver(exchange)
+        offer = exchange.pending[answer.stream]
+        offer.on_answer(answer)
+        self._dispatcher.cancel_others(exchange, answer.stream)
+        if offer.missing_bytes <= 0:
+            self._deliver(exchange, offer)
 
     def on_answer_part(
         self, exchange: exchange_module.Exchange, part: frames.AnswerPart
     ) -> None:
         """Handle a further part of an answer."""
-        exchange.answer_parts.append(part.data)
-        exchange.missing_answer_bytes -= len(part.data)
-        if exchange.missing_answer_bytes <= 0:
-            self._deliver(exchange)
+        offer = exchange.pending[part.stream]
+        offer.on_part(part.data)
+        if offer.missing_bytes <= 0:
+            self._deliver(exchange, offer)
 
     def on_refusal(
         self, exchange: exchange_module.Exchange, refusal: frames.Refusal
@@ -206,10 +208,10 @@
         self._dispatcher.on_refusal(exchange, refusal)
 
     def on_failure(
-        self, exchange: exchange_module.Exchange, reason: str
+        self, exchange: exchange_module.Exchange, stream: int, reason: str
     ) -> None:
         """Handle a failure after which the request may have run."""
-        self._dispatcher.on_failure(exchange, reason)
+        self._dispatcher.on_failure(exchange, stream, reason)
 
     def begin_stop(self, plan: stop_plan.StopPlan) -> None:
         """Begin a planned stop now."""
@@ -318,14 +320,16 @@
         lasts_s = exchange.expires_at + TIMEOUT_GRACE_S - now
         return plan.may_take(now - self._stop_began_at, lasts_s)
 
-    def _deliver(self, exchange: exchange_module.Exchange) -> None:
-        answer = exchange.answer
+    def _deliver(
+        self,
+        exchange: exchange_module.Exchange,
+        offer: pending_offer.PendingOffer,
+    ) -> None:
+        answer, body = offer.answer, offer.body
         if answer is None or exchange.has_ended:
             return
-        body = answer.body
-        if exchange.answer_parts:
-            body += b"".join(exchange.answer_parts)
-        exchange.peer = None
+        exchange.answer = answer
+        exchange.pending.clear()
         if exchange.route is not None:
             self._dispatcher.record_answer_size(exchange.route, len(body))
         exchange.connection.respond(answer.head, body)
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -269,9 +269,9 @@
         self._decisions.write("link_lost", False, peer=peer.node)
         lost, peer.exchanges = peer.exchanges, {}
         peer.reported_load = 0
-        for exchange in lost.values():
+        for stream, exchange in lost.items():
             if not exchange.has_ended:
-                self.outbound_proxy.on_failure(exchange, "link_lost")
+                self.outbound_proxy.on_failure(exchange, stream, "link_lost")
 
     def _own_hello(self, link_number: int) -> frames.Hello:
         settings = self._settings
@@ -296,8 +296,9 @@
             peer.on_result(frame.status < 500, now)
             if exchange is None:
                 return
-            if not exchange.has_changed_link:
-                passed_ms = (now - exchange.offered_at) * 1000
+            offer = exchange.pending[frame.stream]
+            if not offer.has_changed_link:
+                passed_ms = (now - offer.offered_at) * 1000
                 peer.on_transit(passed_ms - frame.elapsed_ms)
             if frame.body_bytes <= len(frame.body):
                 del peer.exchanges[frame.stream]
@@ -305,7 +306,8 @@
         elif isinstance(frame, frames.AnswerPart):
             exchange = peer.exchanges.get(frame.stream)
             if exchange is not None:
-                if exchange.missing_answer_bytes <= len(frame.data):
+                offer = exchange.pending[frame.stream]
+                if offer.missing_bytes <= len(frame.data):
                     del peer.exchanges[frame.stream]
                 self.outbound_proxy.on_answer_part(exchange, frame)
         elif isinstance(frame, frames.Refusal):
@@ -317,7 +319,9 @@
             peer.on_result(False, now)
             exchange = peer.exchanges.pop(frame.stream, None)
             if exchange is not None and not exchange.has_ended:
-                self.outbound_proxy.on_failure(exchange, frame.reason)
+                self.outbound_proxy.on_failure(
+                    exchange, frame.stream, frame.reason
+                )
 
     def _on_inbound_open(self, link: link_module.Link) -> None:
         self._inbound_links.add(link)
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -234,11 +234,12 @@
         servers[2].behave = lambda c, h, i: c.answer(i, body=long_answer)
         connection, exchange = harness.send(members[0])
         await harness.settle()
+        (stream,) = exchange.pending
         first = frames.Answer(
-            exchange.stream, 200, b"", b"first", 100_000, 0, 0, False, 1, 20
+            stream, 200, b"", b"first", 100_000, 0, 0, False, 1, 20
         )
         members[0].outbound_proxy.on_answer(exchange, first)
-        part = frames.AnswerPart(exchange.stream, b"part")
+        part = frames.AnswerPart(stream, b"part")
         members[0].outbound_proxy.on_answer_part(exchange, part)
         for link in list(members[1].peers._inbound_links):
             link.abort()
