Silence all connections at once in the soak

Change: a further fault blocks all open connections between nodes, those to the store, or both. A relay's own kernel answers probes, so that the relay ends connections to the store when unanswered probes would.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 from soak import operator as operator_module
 from soak import relay as relay_module
 
+PROBES_FAIL_S = 3.0
+"""Time after which probes of the kernel end a silent connection to the store.
+"""
 BOTH = {relay_module.Direction.TO_TARGET, relay_module.Direction.FROM_TARGET}
 
 
@@ -261,6 +264,25 @@
                 testbed.fleet.backend_relays[node.name].silence()
 
 
+@FAULTS.register("silence_all")
+async def silence_all(testbed: Testbed, random_source: random.Random) -> None:
+    """Block all open connections between nodes, or all to the store.
+
+    The kernel of the relay answers probes, so that the relay ends the
+    connections to the store when the probes would have failed.
+    """
+    with testbed.all_disrupted():
+        if random_source.random() < 0.7:
+            for relay in testbed.fleet.link_relays.values():
+                relay.silence()
+        if random_source.random() < 0.5:
+            relays = list(testbed.fleet.store_relays.values())
+            silent = [each for relay in relays for each in relay.silence()]
+            await asyncio.sleep(PROBES_FAIL_S)
+            for connection in silent:
+                connection.abort()
+
+
 @FAULTS.register("store_down")
 async def store_down(testbed: Testbed, random_source: random.Random) -> None:
     """Make the store unavailable; sometimes all leases expire meanwhile."""
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -56,7 +56,7 @@
         self.changed = asyncio.Event()
 
 
-class _RelayedConnection:
+class RelayedConnection:
     """A connection from a source and the relay's own to the target."""
 
     def __init__(self, writers: list[asyncio.StreamWriter]) -> None:
@@ -65,6 +65,7 @@
         self.is_silent = False
 
     def abort(self) -> None:
+        """Reset both sides."""
         for writer in self.writers:
             writer.transport.abort()
 
@@ -91,7 +92,7 @@
         self._target = target
         self._faults_of = faults_of
         self._translate_hello = translate_hello
-        self._connections: set[_RelayedConnection] = set()
+        self._connections: set[RelayedConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -117,10 +118,11 @@
             if source is None or connection.source == source:
                 connection.abort()
 
-    def silence(self) -> None:
+    def silence(self) -> list[RelayedConnection]:
         """Stop forwarding on the connections that are now open."""
         for connection in self._connections:
             connection.is_silent = True
+        return list(self._connections)
 
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -139,7 +141,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = _RelayedConnection([writer, target_writer])
+        connection = RelayedConnection([writer, target_writer])
         self._connections.add(connection)
         try:
             await asyncio.gather(
@@ -158,7 +160,7 @@
 
     async def _forward(
         self,
-        connection: _RelayedConnection,
+        connection: RelayedConnection,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
@@ -182,7 +184,7 @@
 
     async def _read_first_frame(
         self,
-        connection: _RelayedConnection,
+        connection: RelayedConnection,
         reader: asyncio.StreamReader,
         direction: Direction,
     ) -> bytes:
