Accept hellos in one place

The check of the protocol version stood at both ends of a link, and the same six lines added a node twice. A second hello on the same link is ignored.

--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -33,7 +33,7 @@
     Attributes
     ----------
     peer : Hello or None
-        First frame of the other node; set by ``on_frame``.
+        First frame of the other node.
     streams : dict
         Requests that were offered over this link, by stream number; filled
         by ``on_frame``.
@@ -114,6 +114,21 @@
         self.results.add(sent._replace(sent_at=self._loop.time()))
         self._write(sent.data)
 
+    def accept_hello(self, hello: frames.Hello) -> bool:
+        """Note who the peer is, or abort if it speaks another protocol."""
+        self.peer = hello
+        self.number = hello.link
+        if hello.protocol == frames.PROTOCOL_VERSION:
+            return True
+        self._decisions.write(
+            "protocol_mismatch",
+            False,
+            peer=hello.node,
+            version=hello.protocol,
+        )
+        self.abort()
+        return False
+
     def expect_reply(self) -> None:
         """Expect a sign of the peer soon."""
         self._liveness.on_offer(self._loop.time())
--- a/src/clementinekeel/sidecar/dialer.py
+++ b/src/clementinekeel/sidecar/dialer.py
@@ -205,18 +205,10 @@
         if not self._owner.on_identified(peer, hello):
             link.abort()
             return
-        link.peer = hello
-        if hello.protocol != frames.PROTOCOL_VERSION:
-            self._decisions.write(
-                "protocol_mismatch",
-                False,
-                peer=hello.node,
-                version=hello.protocol,
-            )
-            link.abort()
+        if not link.accept_hello(hello):
             return
         silent = peer.link
-        if silent is None:
+        if silent is None or silent is link:
             peer.link = link
         elif silent.is_doubtful:
             self._replace(peer, silent, link)
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -247,14 +247,7 @@
         if hello.node == peer.node:
             return True
         self._remove(peer, "address_taken_over")
-        self.add_or_update(
-            hello.node,
-            hello.host,
-            hello.port,
-            hello.zone,
-            hello.region,
-            is_listed=False,
-        )
+        self._add_from_hello(hello)
         return False
 
     def on_frame(
@@ -365,20 +358,14 @@
         hello: frames.Hello,
         inbound_proxy: inbound.InboundProxy,
     ) -> None:
-        link.peer = hello
-        link.number = hello.link
-        if hello.protocol != frames.PROTOCOL_VERSION:
-            self._decisions.write(
-                "protocol_mismatch",
-                False,
-                peer=hello.node,
-                version=hello.protocol,
-            )
-            link.abort()
+        if not link.accept_hello(hello):
             return
         self.versions.compare(link, hello.configuration_version)
         link.send(self._own_hello(hello.link))
         link.send(inbound_proxy.status)
+        self._add_from_hello(hello)
+
+    def _add_from_hello(self, hello: frames.Hello) -> None:
         self.add_or_update(
             hello.node,
             hello.host,
