--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,12 +24,12 @@
 
 
 async def settle_fees(deployment):
-    """Send a request every 20 ms through the node on machine c."""
-    record, node = deployment.record, deployment.nodes["c"]
+    """Send a request every 20 ms through the nodes on machines a and c."""
+    record = deployment.record
 
-    async def send():
+    async def send(node):
         request_id = secrets.token_hex(8)
-        record.add("request", id=request_id, node="c")
+        record.add("request", id=request_id, node=node.name)
         answer = await http11.exchange(
             node.outbound,
             "POST /fee-settle/1 HTTP/1.1",
@@ -45,7 +45,8 @@
 
     async with asyncio.TaskGroup() as tasks:
         while True:
-            tasks.create_task(send())
+            for name in ("a", "c"):
+                tasks.create_task(send(deployment.nodes[name]))
             await asyncio.sleep(0.02)
 
 
