Let other nodes remember the departure of a backend server

Cause: the acknowledgement outlives the process, and nothing that outlives the process had it. The entry in the store could not be written, and the status on the links named no backend server at all after a DELETE, so that the other nodes recorded nothing.

Ruled out: the order of the write and the answer. With the store down no order of the two helps, and the case asks for an acknowledgement then.

Change: the status names the backend server that left last, as leaving. Other nodes remember it when the link is lost and return it as soon as the node is back, before a heartbeat can arrive. Related paths: a backend server that leaves before its first use is recorded as well, draining is returned without waiting for the first use, and a remembered rate limit no longer undoes a leaving.

Tests: test_stated_leaving.py::test_departure_is_remembered_for_a_restarted_node (two forms), test_departure_outlives_two_restarts, test_earlier_limit_does_not_undo_a_leaving and test_departure_before_the_first_use_is_recorded failed before the change.

--- a/src/clementinekeel/membership/heartbeats.py
+++ b/src/clementinekeel/membership/heartbeats.py
@@ -7,6 +7,8 @@
 import enum
 from typing import NamedTuple
 
+from clementinekeel.membership import statements
+
 LATE_HEARTBEAT_S = 10.0
 """Time for which heartbeats of a backend server are refused after it left, if
 its incarnation is not known. They arrive up to a few seconds late."""
@@ -68,6 +70,7 @@
         self._latest: Heartbeat | None = None
         self._has_stated_leaving = False
         self._removed_incarnations_ms: dict[str, int] = {}
+        self._departed: statements.Incarnation | None = None
         self._refused_until: dict[str, float] = {}
 
     @property
@@ -75,6 +78,11 @@
         """Newest heartbeat, or None if no backend server is known."""
         return self._latest
 
+    @property
+    def departed(self) -> statements.Incarnation | None:
+        """Backend server that left last, or None."""
+        return self._departed
+
     def accept(self, heartbeat: Heartbeat, now: float) -> bool:
         """Store a heartbeat if it is newer; return whether it was.
 
@@ -114,7 +122,11 @@
 
     def refuse(self, endpoint: str, incarnation_ms: int) -> None:
         """Refuse heartbeats of an incarnation that has left."""
+        known_ms = self._removed_incarnations_ms.get(endpoint)
+        if known_ms is not None and known_ms >= incarnation_ms:
+            return
         self._removed_incarnations_ms[endpoint] = incarnation_ms
+        self._departed = statements.Incarnation(endpoint, incarnation_ms)
 
     def remove(self, endpoint: str, now: float) -> bool:
         """Remove a backend server that leaves; return whether it was known.
@@ -130,6 +142,9 @@
         self._latest = None
         if current.is_from_health_check:
             self._refused_until[endpoint] = now + LATE_HEARTBEAT_S
+            self._departed = statements.Incarnation(
+                endpoint, current.incarnation_ms
+            )
         else:
             self.refuse(endpoint, current.incarnation_ms)
         return True
--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from clementinekeel.membership import statements
 from clementinekeel.runtime import errors
 
 PROTOCOL_VERSION = 5
@@ -64,7 +65,8 @@
     Attributes
     ----------
     endpoint : str
-        Identity of the backend server, empty while none is known.
+        Identity of the backend server, or of the one that left last; empty
+        while none is known.
     is_accepting : bool
         Whether it accepts new requests.
     slots : int
@@ -84,7 +86,7 @@
         Whether the sender has had an answer of the backend server; until
         then, it doesn't know what the backend server states.
     is_leaving : bool
-        Whether the backend server is about to stop.
+        Whether the backend server is about to stop or has left.
     """
 
     endpoint: str
@@ -100,10 +102,20 @@
     is_leaving: bool
 
 
-def no_endpoint(service: str) -> EndpointStatus:
-    """Return the status of a node that knows no backend server."""
+def no_endpoint(
+    service: str, departed: statements.Incarnation | None = None
+) -> EndpointStatus:
+    """Return the status of a node that has no backend server.
+
+    Parameters
+    ----------
+    departed : Incarnation or None
+        Backend server that left last. Other nodes remember it, so that the
+        node does not use it again after a restart.
+    """
+    endpoint, started_ms = departed or ("", 0)
     return EndpointStatus(
-        endpoint="",
+        endpoint=endpoint,
         service=service,
         is_accepting=False,
         slots=0,
@@ -111,9 +123,9 @@
         queued=0,
         warm_up_left_ms=0,
         rate_limit_per_s=None,
-        started_ms=0,
+        started_ms=started_ms,
         has_answered=False,
-        is_leaving=False,
+        is_leaving=departed is not None,
     )
 
 
--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -114,10 +114,17 @@
             self._verify(heartbeat, health_path)
 
     def on_leave(self, endpoint: str) -> None:
-        """Discard a backend server that leaves before it was used."""
+        """Discard a backend server that leaves before it was used.
+
+        The inbound proxy learns its incarnation first, so that the departure
+        is recorded in the store and at the other nodes.
+        """
         candidate = self._candidate
         if candidate is not None and candidate.endpoint == endpoint:
             self._candidate = None
+            self._inbound_proxy.on_heartbeat(
+                candidate._replace(state=heartbeats.EndpointState.DRAINING)
+            )
 
     def _verify(
         self, heartbeat: heartbeats.Heartbeat, health_path: str
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -151,7 +151,9 @@
         """State of the backend server, for other nodes."""
         heartbeat = self._heartbeats.latest
         if heartbeat is None:
-            return frames.no_endpoint(self._settings.service)
+            return frames.no_endpoint(
+                self._settings.service, self._heartbeats.departed
+            )
         warm_up_left_ms = max(
             0, round((self._warm_up_until - self._loop.time()) * 1000)
         )
@@ -241,17 +243,29 @@
 
     def on_earlier_departure(self, endpoint: str, started_ms: int) -> None:
         """Never use a backend server that an earlier process saw leave."""
+        before = self.status
         self._heartbeats.refuse(endpoint, started_ms)
+        self._report_status_change(before)
 
     def on_earlier_statement(
         self, statement: frames.EarlierStatement, node: str
     ) -> None:
         """Keep to what the backend server stated before this node started."""
         heartbeat = self._heartbeats.latest
-        if heartbeat is None:
-            return
         stated_by = statement.endpoint, statement.started_ms
-        if stated_by != (heartbeat.endpoint, heartbeat.incarnation_ms):
+        if heartbeat is None or stated_by != (
+            heartbeat.endpoint,
+            heartbeat.incarnation_ms,
+        ):
+            if statement.is_leaving:
+                self._decisions.write(
+                    "departure_returned",
+                    False,
+                    endpoint=statement.endpoint,
+                    started_ms=statement.started_ms,
+                    peer=node,
+                )
+                self.on_earlier_departure(*stated_by)
             return
         self._statements.on_earlier_statement(statement, node)
         self._apply_limit()
--- a/src/clementinekeel/sidecar/peer.py
+++ b/src/clementinekeel/sidecar/peer.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from clementinekeel.membership import statements
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
 from clementinekeel.nodes import transit
@@ -79,6 +80,8 @@
         Whether the node was told of all crashes since the link was made.
     is_listed : bool
         Whether the node has an entry in the store.
+    earlier_departure : Incarnation or None
+        Backend server that had left, or was leaving, when the link was lost.
     reported_load : int
         Requests that run or wait there, by the last report and the offers
         since.
@@ -96,6 +99,7 @@
         self.loopback: Loopback | None = None
         self.exchanges: dict[int, Any] = {}
         self.is_listed = False
+        self.earlier_departure: statements.Incarnation | None = None
         self.unreachable_since: float | None = None
         self.dialed_link: link_module.Link | None = None
         self.is_dialing = False
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -413,11 +413,16 @@
         status = peer.status
         if status is None:
             return
+        incarnation = statements.Incarnation(
+            status.endpoint, status.started_ms
+        )
         self._statements.record(
-            statements.Incarnation(status.endpoint, status.started_ms),
+            incarnation,
             statements.Statement(status.rate_limit_per_s, status.is_leaving),
             now,
         )
+        if status.is_leaving:
+            peer.earlier_departure = incarnation
         peer.status = status._replace(is_accepting=False)
 
     def _with_earlier_statement(
@@ -441,13 +446,30 @@
         peer.link.send(frames.EarlierStatement(*incarnation, *known))
         return status._replace(
             is_accepting=status.is_accepting and not known.is_leaving,
-            **known._asdict(),
+            rate_limit_per_s=known.rate_limit_per_s,
+            is_leaving=status.is_leaving or known.is_leaving,
         )
 
+    def _return_departure(
+        self, peer: peer_module.Peer, status: frames.EndpointStatus
+    ) -> None:
+        """Tell a node of a departure that it may have forgotten.
+
+        It is told before a delayed heartbeat can bring the backend server
+        back in use.
+        """
+        departure = peer.earlier_departure
+        if departure is None or peer.link is None:
+            return
+        peer.earlier_departure = None
+        if departure != (status.endpoint, status.started_ms):
+            peer.link.send(frames.EarlierStatement(*departure, None, True))
+
     def _set_status(
         self, peer: peer_module.Peer, status: frames.EndpointStatus
     ) -> None:
         before = peer.status
+        self._return_departure(peer, status)
         status = self._with_earlier_statement(peer, status)
         peer.status = status
         peer.reported_load = status.running + status.queued
--- a/tests/sidecar/test_stated_leaving.py
+++ b/tests/sidecar/test_stated_leaving.py
@@ -197,3 +197,108 @@
         assert not restarted.inbound_proxy.status.is_accepting
 
     test_rate_limit.run_members(scenario, [None], others=1)
+
+
+@pytest.mark.parametrize("is_heartbeat_first", [True, False])
+def test_departure_is_remembered_for_a_restarted_node(is_heartbeat_first):
+    """A node that is killed while the store is away has not written there
+    that its backend server has left; a heartbeat sent before the departure
+    brought the server back in use.
+    """
+
+    async def scenario(members, servers):
+        members[0].inbound_proxy.on_leave("e-n1")
+        await harness.settle()
+        members[0].peers.close()
+        await harness.settle(1.0)
+        restarted = harness.Member("n1")
+        restarted.add_peer(members[1])
+        if is_heartbeat_first:
+            restarted.inbound_proxy.on_heartbeat(harness.heartbeat("n1", 2))
+        await harness.settle(0.5)
+        members[1].tick()
+        await harness.settle(0.5)
+        if not is_heartbeat_first:
+            restarted.inbound_proxy.on_heartbeat(harness.heartbeat("n1", 2))
+        assert not restarted.inbound_proxy.status.is_accepting
+        connection, _ = harness.send(members[1])
+        await harness.settle()
+        assert connection.answers[0][0] == 503
+        assert not servers[0].requests
+        # Its successor at the address is used.
+        restarted.inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", 1, endpoint="e-new", incarnation_ms=2)
+        )
+        await harness.settle()
+        harness.send(members[1])
+        await harness.settle()
+        assert len(servers[0].requests) == 1
+
+    test_rate_limit.run_members(scenario, [None], others=1)
+
+
+def test_departure_outlives_two_restarts():
+    """The first restarted process passes on what it was told."""
+
+    async def scenario(members, servers):
+        members[0].inbound_proxy.on_leave("e-n1")
+        await harness.settle()
+        previous = members[0]
+        for _ in range(2):
+            previous.peers.close()
+            await harness.settle(1.0)
+            previous = harness.Member("n1")
+            previous.add_peer(members[1])
+            await harness.settle(0.5)
+            members[1].tick()
+            await harness.settle(0.5)
+        previous.inbound_proxy.on_heartbeat(harness.heartbeat("n1", 2))
+        assert not previous.inbound_proxy.status.is_accepting
+
+    test_rate_limit.run_members(scenario, [None], others=1)
+
+
+def test_earlier_limit_does_not_undo_a_leaving():
+    """A backend server with a rate limit leaves while its node restarts."""
+
+    async def scenario(members, servers):
+        servers[0].behave = lambda c, h, i: c.answer(
+            i, extra=b"Rate-Limit: 10\r\n"
+        )
+        harness.send(members[1])
+        await harness.settle()
+        members[0].peers.close()
+        await harness.settle(1.0)
+        restarted = harness.Member("n1")
+        restarted.inbound_proxy.on_heartbeat(
+            harness.heartbeat("n1", 2, state=heartbeats.EndpointState.DRAINING)
+        )
+        restarted.add_peer(members[1])
+        await harness.settle(0.5)
+        members[1].tick()
+        await harness.settle(0.5)
+        status = members[1].peers._peers["n1"].status
+        assert (status.is_accepting, status.is_leaving) == (False, True)
+
+    test_rate_limit.run_members(scenario, [None], others=1)
+
+
+def test_departure_before_the_first_use_is_recorded():
+    """A node that has just started acknowledged the departure of a backend
+    server that it was still verifying, and told no one of it.
+    """
+    from clementinekeel.sidecar import backend_verification
+
+    async def main():
+        member = harness.Member("n1")
+        verifier = backend_verification.BackendVerifier(
+            member.inbound_proxy, harness.DIALECT, "s", member.log
+        )
+        verifier.on_heartbeat(harness.heartbeat("n1"), "")
+        verifier.on_leave("e-n1")
+        member.inbound_proxy.on_leave("e-n1")
+        status = member.inbound_proxy.status
+        assert (status.endpoint, status.is_leaving) == ("e-n1", True)
+        assert member.inbound_proxy.has_left("e-n1")
+
+    memory_loop.run(main)
