Trust a failing health check over delayed heartbeats after a restart

Other nodes remember a departure now, but not if all of them are killed while the store is away.

Cause: the restarted node took its entry in the store for a heartbeat, so that one delayed heartbeat confirmed it, and forgot that the health check had answered with a failure.

Ruled out: ignoring all heartbeats until a health check succeeds. Endpoints whose health check is wrong would never be used again.

Change: an entry is no heartbeat. A health check that is rejected for lack of a slot says nothing and is repeated.

Tests: test_delayed_heartbeats_do_not_outweigh_a_failing_health_check, test_delayed_heartbeat_alone_does_not_confirm_an_entry and test_health_check_that_did_not_run_does_not_deny failed before the change.

--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -4,7 +4,11 @@
 acknowledged. A delayed heartbeat, or the node's entry in the store, may name a
 backend server that is leaving. The node uses the backend server once it
 answers a health check under this identity, or sends a second, newer heartbeat,
-since a health check may fail although the backend server is healthy.
+since a health check may find no answer although the backend server is healthy.
+
+A backend server that answers a health check with a failure may be leaving. Its
+heartbeats may have been sent before it left, so that they count only once
+delayed ones have arrived, unless the node has not run on this VM before.
 
 After a loss of power the backend server has started too, under another
 identity, and its first heartbeat comes up to 1.5 s later. Until then the node
@@ -33,7 +37,14 @@
 
 
 class _Health(NamedTuple):
-    """Result of a health check; the endpoint is empty without an answer."""
+    """Result of a health check.
+
+    Attributes
+    ----------
+    endpoint : str
+        Identity of the backend server; empty without an answer, and if it had
+        no slot for the health check.
+    """
 
     endpoint: str
     is_healthy: bool
@@ -63,6 +74,16 @@
         self._decisions = decisions
         self._candidate: heartbeats.Heartbeat | None = None
         self._health_check: asyncio.Task[None] | None = None
+        # Backend server that an earlier process used, from its entry.
+        self._earlier: heartbeats.Heartbeat | None = None
+        # Backend server whose last health check reported a failure.
+        self._unhealthy_endpoint = ""
+        loop = asyncio.get_running_loop()
+        self._delayed_until = loop.time() + heartbeats.LATE_HEARTBEAT_S
+
+    def on_no_earlier_entry(self) -> None:
+        """Record that no earlier process has acknowledged a departure."""
+        self._delayed_until = 0.0
 
     def on_earlier_entry(
         self, entry: entry_module.Entry, address: str
@@ -90,7 +111,7 @@
             self._inbound_proxy.on_earlier_departure(
                 entry.endpoint, entry.incarnation_ms
             )
-        self._candidate = heartbeat
+        self._candidate = self._earlier = heartbeat
         if entry.health_path:
             loop = asyncio.get_running_loop()
             self._health_check = loop.create_task(
@@ -107,7 +128,7 @@
             self._inbound_proxy.on_heartbeat(heartbeat)
             return
         earlier, self._candidate = self._candidate, heartbeat
-        if earlier is not None and _is_successor(heartbeat, earlier):
+        if earlier is not None and self._is_confirmed(heartbeat, earlier):
             self._candidate = None
             self._inbound_proxy.on_heartbeat(heartbeat)
         else:
@@ -136,6 +157,16 @@
                 self._confirm(heartbeat, health_path)
             )
 
+    def _is_confirmed(
+        self, heartbeat: heartbeats.Heartbeat, earlier: heartbeats.Heartbeat
+    ) -> bool:
+        """Tell whether a heartbeat confirms an earlier one."""
+        if earlier is self._earlier or not _is_successor(heartbeat, earlier):
+            return False
+        if heartbeat.endpoint != self._unhealthy_endpoint:
+            return True
+        return asyncio.get_running_loop().time() >= self._delayed_until
+
     async def _confirm(
         self, heartbeat: heartbeats.Heartbeat, health_path: str
     ) -> None:
@@ -174,12 +205,23 @@
         report = self_report.decode(
             headers, self._dialect.rate_limit, self._dialect.leaving
         )
+        named = dict(headers)
+        has_run = self._dialect.not_run not in named
         health = _Health(
-            dict(headers).get(self._dialect.instance, b"").decode("latin-1"),
+            named.get(self._dialect.instance, b"").decode("latin-1")
+            if has_run
+            else "",
             answer is not None
             and answer.status == 200
             and not report.is_leaving,
         )
+        if health.is_healthy:
+            self._unhealthy_endpoint = ""
+        elif answer is not None and has_run and self._candidate is not None:
+            # A failure need not name the backend server.
+            self._unhealthy_endpoint = (
+                health.endpoint or self._candidate.endpoint
+            )
         self._decisions.write(
             "backend_probed",
             False,
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -216,7 +216,10 @@
         self._peers.publish_own_status()
         self._registration.refresh()
 
-    def _on_earlier_entry(self, entry: entry_module.Entry) -> None:
+    def _on_earlier_entry(self, entry: entry_module.Entry | None) -> None:
+        if entry is None:
+            self._backend_verifier.on_no_earlier_entry()
+            return
         self._backend_verifier.on_earlier_entry(entry, self._backend_address)
 
     def _on_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -62,7 +62,8 @@
     health_path : callable
         Returns the path of a service's health check.
     on_earlier_entry : callable
-        Called with the entry that an earlier process on this VM left.
+        Called with the entry that an earlier process on this VM left, or
+        with None if the store has none.
     """
 
     def __init__(
@@ -74,7 +75,7 @@
         latest_heartbeat: Callable[[], heartbeats.Heartbeat | None],
         has_left: Callable[[str], bool],
         health_path: Callable[[str], str],
-        on_earlier_entry: Callable[[entry_module.Entry], None],
+        on_earlier_entry: Callable[[entry_module.Entry | None], None],
     ) -> None:
         self._key = KEY_PREFIX + settings.node
         self._lease_ms = max(LEASE_MS, settings.lease_min_ms)
@@ -192,6 +193,7 @@
             self._has_started = True
             if earlier is not None:
                 self._peers.crash_reports.adopt(earlier.refused)
+            if earlier is not None or existing is None:
                 self._on_earlier_entry(earlier)
             await self._wait_for_heartbeat()
         if (
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -55,6 +55,7 @@
         self.is_healthy = True
         self.instance = b"e-n1"
         self.health_checks = 0
+        self.health_headers = b""
         self.server.on_request = self.on_request
         self.behave = lambda c, h, i: c.answer(i)
         self.node = node.Node(self.settings, self.adapter())
@@ -65,6 +66,7 @@
             self.health_checks += 1
             status = 200 if self.is_healthy else 503
             named = b"instance: %s\r\n" % self.instance
+            named += self.health_headers
             connection.answer(b"", status, extra=named)
             return
         self.server.requests.append((head, headers, body))
@@ -500,6 +502,99 @@
     run_node(scenario)
 
 
+def restart(environment):
+    """Return a second process of the node, with the entry of the first."""
+    restarted = node.Node(environment.settings, environment.adapter())
+    restarted._on_earlier_entry(environment.node._registration._written_entry)
+    return restarted
+
+
+@pytest.mark.parametrize("is_named", [True, False])
+def test_delayed_heartbeats_do_not_outweigh_a_failing_health_check(
+    run_node, is_named
+):
+    """All nodes are killed after a departure that the store does not have.
+    The health check tells it, but one delayed heartbeat that was newer than
+    the entry brought the backend server back in use.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        environment.is_healthy = False
+        if not is_named:
+            environment.instance = b""
+        restarted = restart(environment)
+        for sequence in (2, 3, 4):
+            if sequence == 4:
+                # A check without an answer does not undo the failure.
+                environment.server.end()
+            await harness.settle(1)
+            restarted._on_heartbeat(harness.heartbeat("n1", sequence))
+            await harness.settle(0.1)
+            assert restarted._inbound_proxy.latest_heartbeat is None
+
+    run_node(scenario)
+
+
+def test_delayed_heartbeat_alone_does_not_confirm_an_entry(run_node):
+    """The health check finds no answer; the heartbeat may be older than the
+    departure, like the entry.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        environment.server.end()
+        restarted = restart(environment)
+        await harness.settle(0.1)
+        restarted._on_heartbeat(harness.heartbeat("n1", 2))
+        await harness.settle(0.1)
+        assert restarted._inbound_proxy.latest_heartbeat is None
+        restarted._on_heartbeat(harness.heartbeat("n1", 3))
+        assert restarted._inbound_proxy.latest_heartbeat is not None
+
+    run_node(scenario)
+
+
+def test_backend_server_whose_health_check_fails_is_used_later(run_node):
+    """Its health check may be wrong. A heartbeat that arrives long after the
+    restart was not sent before a departure.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        environment.is_healthy = False
+        restarted = restart(environment)
+        await harness.settle(heartbeats.LATE_HEARTBEAT_S)
+        for sequence in (2, 3):
+            restarted._on_heartbeat(harness.heartbeat("n1", sequence))
+            await harness.settle(0.1)
+        assert restarted._inbound_proxy.latest_heartbeat.sequence == 3
+
+    run_node(scenario)
+
+
+def test_health_check_that_did_not_run_does_not_deny(run_node):
+    """A full backend server rejects its health check like any request."""
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(3)
+        environment.is_healthy = False
+        environment.health_headers = b"Not-Run: 1\r\n"
+        restarted = restart(environment)
+        await harness.settle(0.2)
+        assert restarted._inbound_proxy.latest_heartbeat is None
+        environment.is_healthy = True
+        environment.health_headers = b""
+        await harness.settle(0.2)
+        assert restarted._inbound_proxy.latest_heartbeat is not None
+
+    run_node(scenario)
+
+
 def test_endpoint_that_left_before_its_first_heartbeat_is_not_used(run_node):
     async def scenario(environment):
         await call(
--- a/tests/sidecar/test_registration.py
+++ b/tests/sidecar/test_registration.py
@@ -440,3 +440,26 @@
         assert (own.lease, own_registration._lease) == (3, 3)
 
     run_registered(scenario)
+
+
+@pytest.mark.parametrize(
+    "content, calls", [(None, [None]), (b"not an entry", [])]
+)
+def test_first_start_is_told_from_a_restart(content, calls):
+    """After a restart, heartbeats may be older than a departure. An entry
+    that can't be read may be that of an earlier process.
+    """
+
+    async def main():
+        member = harness.Member("n1")
+        store = MemoryStore()
+        if content is not None:
+            store.put("nodes/n1", content)
+        told = []
+        maintained = register(member, store, told.append).maintain()
+        task = asyncio.ensure_future(maintained)
+        await harness.settle(2)
+        task.cancel()
+        assert told == calls
+
+    memory_loop.run(main)
