Refuse calls that a planned stop would break off

Cause: OutboundProxy._may_take let every call of a running request through, however little of the stop was left. The bound for requests of callers did not apply.

Ruled out: a timeout or a lost link. The answers come at once for all calls at StopPlan.end_s, with the reason of end_all.

Change: a call is taken on the condition that holds for any late request: it is answered before the end in any case. Otherwise it is refused as not run.

Tests: test_node.py::test_call_late_in_a_planned_stop_is_not_broken_off failed before the change for calls at 4.05, 4.15, 4.5 and 5.1 s (502 in place of 504 or 503).

--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -306,16 +306,15 @@
     def _may_take(self, exchange: exchange_module.Exchange) -> bool:
         """Tell whether a planned stop leaves enough time for a request.
 
-        A call that a request at the backend server makes is always taken:
-        without it, that request would fail.
+        That holds for the calls of requests at the backend server as well. A
+        refused call fails such a request, like one that the end of the stop
+        breaks off, but no endpoint works on it in vain.
         """
         plan = self._stop_plan
         if plan is None:
             return True
         if self._refuses_all:
             return False
-        if exchange.parent_job is not None:
-            return True
         now = self._loop.time()
         lasts_s = exchange.expires_at + TIMEOUT_GRACE_S - now
         return plan.may_take(now - self._stop_began_at, lasts_s)
--- a/src/clementinekeel/sidecar/stop_plan.py
+++ b/src/clementinekeel/sidecar/stop_plan.py
@@ -36,7 +36,7 @@
     end_s: float
 
     def may_take(self, since_stop_s: float, lasts_s: float) -> bool:
-        """Tell whether a new request of a caller is taken.
+        """Tell whether a new request of a caller or a new call is taken.
 
         Requests that arrive while callers are being sent elsewhere are taken,
         since nearly all are answered long before their deadline. Later ones
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -273,6 +273,48 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("sent_s", [0.5, 2.5, 3.9, 4.05, 4.15, 4.5, 5.1])
+def test_call_late_in_a_planned_stop_is_not_broken_off(run_node, sent_s):
+    """Each call of a running request was taken, and those that were still at
+    work at the end of the stop were answered 502.
+
+    Their endpoint is silent, so that each call lasts until its timeout.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        environment.behave = lambda c, h, i: None
+        other = harness.Member("n2", service="t")
+        called = harness.BackendServer("n2", lambda c, h, i: None)
+        other.inbound_proxy.on_heartbeat(harness.heartbeat("n2", service="t"))
+        environment.node._peers.add_or_update("n2", "n2", 5, "z1", "r1", True)
+        parent_route = harness.ROUTE._replace(timeout_ms=30_000)
+        call_route = harness.ROUTE._replace(
+            prefix="/call/", shares=(harness.table.Share("t", 1),)
+        )
+        environment.node._outbound_proxy.activate(
+            harness.routing_table(2, (parent_route, call_route))
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(0.2)
+        parent = asyncio.ensure_future(environment.request(1, timeout_s=10.0))
+        await harness.settle(sent_s - 0.2)
+        answer = await call(
+            environment.settings.outbound,
+            b"GET /call/x HTTP/1.1\r\nHost: h\r\nId: r1.1\r\n\r\n",
+        )
+        assert isinstance(answer, http1.Answer)
+        assert answer.status == (504 if called.requests else 503)
+        # A call that is sure to end in time is passed on.
+        assert bool(called.requests) is (sent_s < 4.0)
+        await parent
+        async with asyncio.timeout(6):
+            await environment.task
+
+    run_node(scenario)
+
+
 def test_settings_that_change_without_a_signal_are_reloaded(run_node):
     async def scenario(environment):
         await environment.heartbeat()
