Free the bytes of a failed answer at once

Cause: an answer above a bound fails and is no longer counted, but its connection keeps up to 16 MiB of body. Connection and parser refer to each other, so that the garbage collector has to free them. It runs by the number of new objects, which are few here.

Ruled out: the bounds themselves.

Change: a failed or cancelled answer is freed at once, and the connection drops its parser when it ends.

Tests: test_answer_that_failed_is_freed_at_once (too long, cancelled, reset) and test_connection_that_ended_is_freed_at_once failed before the change.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -108,7 +108,11 @@
         self._memory = memory
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        # The parser refers to this object: set to None at the end, since both
+        # would wait for the garbage collector.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._on_outcome: Callable[[Outcome], None] | None = None
         self._outcome: Outcome | None = None
         self._request_id = b""
@@ -140,6 +144,10 @@
         idle_ms = (self._loop.time() - self.idle_since) * 1000
         return idle_ms < self._keep_alive_ms * KEEP_ALIVE_SHARE
 
+    @property
+    def _status(self) -> int:
+        return self._parser.get_status_code() if self._parser else 0
+
     def may_send(self, request_id: bytes) -> bool:
         """Tell whether a request may be sent on this connection.
 
@@ -182,7 +190,7 @@
     def cancel(self) -> None:
         """Reset the connection without reporting an outcome."""
         self._on_outcome = None
-        self._release_memory()
+        self._forget_answer()
         self._must_close = True
         if self._transport is not None:
             self._transport.abort()
@@ -210,7 +218,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._on_outcome is None:
+        if self._on_outcome is None or self._parser is None:
             # No request is waiting for an answer.
             self.cancel()
             return
@@ -240,7 +248,7 @@
         """Complete an answer that ends when the connection closes."""
         self._must_close = True
         if self._reads_until_close and self._on_outcome is not None:
-            self._complete(self._parser.get_status_code())
+            self._complete(self._status)
             if self._outcome is not None:
                 self._finish(self._outcome)
         return False
@@ -250,6 +258,7 @@
         self._must_close = True
         reason = "connection closed" if exc is None else str(exc)
         self._finish(Failure(reason, self._has_partial_answer))
+        self._parser = None
 
     def on_message_begin(self) -> None:
         """Start to read an answer."""
@@ -287,7 +296,7 @@
                 is_framed = True
             elif name == b"keep-alive":
                 self._read_keep_alive(value)
-        status = self._parser.get_status_code()
+        status = self._status
         if self._is_head and status >= 200 and not self._is_mismatched:
             self._must_close = True
             self._complete(status)
@@ -303,12 +312,12 @@
 
     def on_message_complete(self) -> None:
         """Complete an answer whose length is known."""
-        status = self._parser.get_status_code()
+        status = self._status
         if self._is_mismatched or status < 200 or self._outcome is not None:
             return
         if self._reads_until_close:
             return
-        if not self._parser.should_keep_alive():
+        if self._parser is None or not self._parser.should_keep_alive():
             self._must_close = True
         self._complete(status)
 
@@ -324,7 +333,10 @@
         elif self._memory is not None:
             self._memory.add(self, size)
 
-    def _release_memory(self) -> None:
+    def _forget_answer(self) -> None:
+        """Free what was received of an answer."""
+        self._headers = []
+        self._body = bytearray()
         if self._memory is not None:
             self._memory.release(self)
 
@@ -350,7 +362,7 @@
     def _finish(self, outcome: Outcome) -> None:
         on_outcome, self._on_outcome = self._on_outcome, None
         self._outcome = None
-        self._release_memory()
+        self._forget_answer()
         self.idle_since = self._loop.time()
         if on_outcome is not None:
             on_outcome(outcome)
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -1,10 +1,13 @@
 """Valid and faulty answers; none may reach the caller of another request."""
 
 import asyncio
+import gc
 import tracemalloc
+import weakref
 
 import pytest
 
+from clementinekeel.backends import _answer_memory
 from clementinekeel.backends import http1
 from tests import memory_loop
 from tests.sidecar import harness
@@ -318,3 +321,77 @@
     outcomes, sent_bytes = read_endless_answer(start, part)
     assert [type(outcome) for outcome in outcomes] == [http1.Failure]
     assert sent_bytes <= max_bytes
+
+
+def held_bytes(module):
+    """Return the bytes that were allocated in a module and not freed."""
+    filters = [tracemalloc.Filter(True, module.__file__)]
+    snapshot = tracemalloc.take_snapshot().filter_traces(filters)
+    return sum(trace.size for trace in snapshot.traces)
+
+
+@pytest.fixture
+def no_collection():
+    """Trace memory without the garbage collector, which runs seldom."""
+    gc.disable()
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+    gc.enable()
+
+
+@pytest.mark.parametrize("how", ["too long", "cancelled", "reset"])
+def test_answer_that_failed_is_freed_at_once(no_collection, how):
+    """A failed answer stayed with its connection until the garbage collector
+    ran; endless answers took a node over its memory limit meanwhile.
+    """
+
+    class Server(EndlessServer):
+        async def _write(self):
+            self.transport.write(self._start)
+            for _ in range(10):
+                self.transport.write(self._part)
+                await asyncio.sleep(0.001)
+            if how == "reset":
+                self.transport.abort()
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: Server(OK + b"\r\n", b"x" * 9_000), "b", 1
+        )
+        memory = _answer_memory.AnswerMemory(80_000)
+        for _ in range(20):
+            _, connection = await loop.create_connection(
+                lambda: http1.HttpConnection(
+                    b"id", memory if how == "too long" else None
+                ),
+                "b",
+                1,
+            )
+            connection.send(b"GET /\r\n\r\n", b"", b"r1", False, ignore)
+            await harness.settle(0.1)
+            if how == "cancelled":
+                connection.cancel()
+        assert held_bytes(http1) < 90_000
+
+    def ignore(_outcome):
+        pass
+
+    memory_loop.run(main)
+
+
+def test_connection_that_ended_is_freed_at_once(no_collection):
+    """The parser holds its connection, so that both waited for the garbage
+    collector, with all that the connection holds.
+    """
+
+    async def main():
+        connection = http1.HttpConnection(b"id")
+        connection.connection_made(asyncio.Transport())
+        connection.connection_lost(None)
+        ended = weakref.ref(connection)
+        del connection
+        assert ended() is None
+
+    memory_loop.run(main)
