Free the body of an upload that breaks off

Callers saw: a node that gets uploads whose callers close midway is over its memory_mb within seconds and ends, with the requests of all other callers on it.

Cause: a caller's connection and its parser refer to each other. The parts of the body wait for the garbage collector after the end, and the limit for bodies counts open connections alone. A rejected request keeps its parts until its caller has read the refusal.

Ruled out: the limit for bodies and the link, since the requests never become complete and are passed to no one.

Change: the parts are freed with the rejection, the parser with the connection.

Tests: tests/callers/test_http1.py::test_connection_that_ended_is_freed_at_once and ::test_body_of_a_rejected_request_is_freed_at_once failed before the change.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -95,7 +95,11 @@
         self._on_open = on_open
         self._on_close = on_close
         self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        # The parser refers to this object: set to None at the end, since both
+        # would wait for the garbage collector.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._transport: asyncio.Transport | None = None
         self._pipelined: list[tuple[Request, bool]] = []
         self._current: PendingRequest | None = None
@@ -157,6 +161,7 @@
         self._is_refused = True
         head, body = error_answer(status, reason)
         self._pipelined.clear()
+        self._parts = []
         self.respond(head, body, keep=False)
 
     def abort(self) -> None:
@@ -198,7 +203,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
         self._last_active_at = self._loop.time()
-        if self._is_refused:
+        if self._is_refused or self._parser is None:
             return
         try:
             self._parser.feed_data(data)
@@ -214,6 +219,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is being handled."""
         self._pipelined.clear()
+        self._parts = []
+        self._parser = None
         current, self._current = self._current, None
         if current is not None:
             current.cancel()
@@ -262,7 +269,7 @@
     def on_message_complete(self) -> None:
         """Handle a complete request, or queue it behind the current one."""
         self._is_reading = False
-        if self._is_refused:
+        if self._is_refused or self._parser is None:
             return
         keep_alive = self._parser.should_keep_alive()
         request = Request(
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -1,7 +1,6 @@
 """Valid and faulty answers; none may reach the caller of another request."""
 
 import asyncio
-import gc
 import tracemalloc
 import weakref
 
@@ -10,6 +9,7 @@
 from clementinekeel.backends import _answer_memory
 from clementinekeel.backends import http1
 from tests import memory_loop
+from tests import memory_tracing
 from tests.sidecar import harness
 
 OK = b"HTTP/1.1 200 OK\r\nid: r1\r\n"
@@ -323,25 +323,8 @@
     assert sent_bytes <= max_bytes
 
 
-def held_bytes(module):
-    """Return the bytes that were allocated in a module and not freed."""
-    filters = [tracemalloc.Filter(True, module.__file__)]
-    snapshot = tracemalloc.take_snapshot().filter_traces(filters)
-    return sum(trace.size for trace in snapshot.traces)
-
-
-@pytest.fixture
-def no_collection():
-    """Trace memory without the garbage collector, which runs seldom."""
-    gc.disable()
-    tracemalloc.start()
-    yield
-    tracemalloc.stop()
-    gc.enable()
-
-
 @pytest.mark.parametrize("how", ["too long", "cancelled", "reset"])
-def test_answer_that_failed_is_freed_at_once(no_collection, how):
+def test_answer_that_failed_is_freed_at_once(how):
     """A failed answer stayed with its connection until the garbage collector
     ran; endless answers took a node over its memory limit meanwhile.
     """
@@ -373,15 +356,16 @@
             await harness.settle(0.1)
             if how == "cancelled":
                 connection.cancel()
-        assert held_bytes(http1) < 90_000
+        assert memory_tracing.held_bytes(http1) < 90_000
 
     def ignore(_outcome):
         pass
 
-    memory_loop.run(main)
+    with memory_tracing.no_collection():
+        memory_loop.run(main)
 
 
-def test_connection_that_ended_is_freed_at_once(no_collection):
+def test_connection_that_ended_is_freed_at_once():
     """The parser holds its connection, so that both waited for the garbage
     collector, with all that the connection holds.
     """
@@ -394,4 +378,5 @@
         del connection
         assert ended() is None
 
-    memory_loop.run(main)
+    with memory_tracing.no_collection():
+        memory_loop.run(main)
--- a/tests/callers/test_http1.py
+++ b/tests/callers/test_http1.py
@@ -1,12 +1,14 @@
 """Server connections of callers, with complete and invalid requests."""
 
 import asyncio
+import weakref
 
 import pytest
 
 from clementinekeel.callers import http1
 from clementinekeel.routing import table
 from tests import memory_loop
+from tests import memory_tracing
 from tests.sidecar import harness
 
 LIMITS = table.CallerLimits(
@@ -218,3 +220,58 @@
         assert caller.is_closed
 
     run_caller(scenario)
+
+
+class UnreadTransport(asyncio.Transport):
+    """A transport to a caller that reads nothing, so that it stays open."""
+
+    def write(self, data):
+        pass
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        pass
+
+
+def begin_upload(size, body_bytes):
+    """Return a connection that has read a part of a body."""
+    server = FakeServer()
+    server.limits = LIMITS._replace(body_bytes=body_bytes)
+    server.has_memory_for = lambda size: True
+    connection = http1.ServerConnection(server, lambda c: None, lambda c: None)
+    connection.connection_made(UnreadTransport())
+    head = b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n"
+    connection.data_received(head)
+    for _ in range(size // 50_000):
+        connection.data_received(b"x" * 50_000)
+    return connection
+
+
+def test_connection_that_ended_is_freed_at_once():
+    """Uploads that break off stayed in memory until the garbage collector
+    ran, uncounted, since the parser holds its connection.
+    """
+
+    async def main():
+        connection = begin_upload(1_000_000, 8_000_000)
+        connection.connection_lost(None)
+        ended = weakref.ref(connection)
+        del connection
+        assert ended() is None
+
+    with memory_tracing.no_collection():
+        memory_loop.run(main)
+
+
+def test_body_of_a_rejected_request_is_freed_at_once():
+    """Its caller may leave the refusal unread for seconds."""
+
+    async def main():
+        connection = begin_upload(1_000_000, 900_000)
+        assert memory_tracing.held_bytes(http1) < 100_000
+        connection.connection_lost(None)
+
+    with memory_tracing.no_collection():
+        memory_loop.run(main)
