Bound the framing of an answer apart from its body

Callers saw: beside an endpoint that answers in chunks of one byte without end, half of the ordinary requests on its node were refused or not answered.

Cause: an answer may have 16 MiB of any bytes before it fails. In chunks of one byte these are 2.8 million chunks with a call of the parser each, and the node has no time for other requests.

Ruled out: memory. The peak of these runs is 44 to 112 MB.

Change: an answer fails when what was received beside its bodies is over 256 KiB and over the bodies: heads, interim answers, chunk sizes, extensions, trailers.

Tests: test_framing_without_end_fails_before_the_body_limit (four forms) failed before the change; test_whole_answer_in_small_chunks_is_delivered keeps small chunks allowed.

Measured, three nodes as processes, 40 such answers a second for 12 s, two runs each: before, 60 and 65 of 120 ordinary requests answered 200; after, 120 and 120. Peak of the node beside the endpoint: 112 and 90 MB, then 33 MB.

--- a/src/clementinekeel/backends/http1.py
+++ b/src/clementinekeel/backends/http1.py
@@ -34,6 +34,10 @@
 requests, above which it fails: a node may use only 200 MB in total."""
 MAX_HEAD_BYTES = 64 * 1024
 """Longer heads of answers are failures; common servers stop at 8 to 64 KiB."""
+MAX_FRAMING_BYTES = 256 * 1024
+"""Bytes received for one request beside all bodies, above which it fails if
+the bodies have fewer: chunks of one byte take seconds of processor time for an
+answer of the greatest length."""
 KEEP_ALIVE_SHARE = 0.5
 """Share of the server's keep-alive time for which idle connections are reused.
 
@@ -123,6 +127,7 @@
         self._reads_until_close = False
         self._has_partial_answer = False
         self._received_bytes = 0
+        self._body_bytes = 0
         self._head_bytes = 0
         self._is_reading_head = True
         self._reason = b""
@@ -179,6 +184,7 @@
         self._is_head = is_head
         self._has_partial_answer = False
         self._received_bytes = 0
+        self._body_bytes = 0
         self._head_bytes = 0
         self.request_count += 1
         transport = self._transport
@@ -306,6 +312,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body."""
+        self._body_bytes += len(data)
         if self._is_mismatched or self._outcome is not None:
             return
         self._body += data
@@ -326,8 +333,11 @@
         self._received_bytes += size
         if self._is_reading_head:
             self._head_bytes += size
+        framing_bytes = self._received_bytes - self._body_bytes
         if self._head_bytes > MAX_HEAD_BYTES:
             self.fail_answer("head of the answer too long")
+        elif framing_bytes > max(MAX_FRAMING_BYTES, self._body_bytes):
+            self.fail_answer("framing of the answer too long")
         elif self._received_bytes > MAX_ANSWER_BYTES:
             self.fail_answer("answer too long")
         elif self._memory is not None:
--- a/tests/backends/test_http1.py
+++ b/tests/backends/test_http1.py
@@ -323,6 +323,34 @@
     assert sent_bytes <= max_bytes
 
 
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        pytest.param(CHUNKED, b"1\r\nx\r\n" * 5_000, id="chunks"),
+        pytest.param(
+            b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000, id="interim answers"
+        ),
+        pytest.param(CHUNKED + b"1;", HEAD_PART, id="chunk extension"),
+        pytest.param(CHUNKED + b"0\r\na: ", HEAD_PART, id="trailer"),
+    ],
+)
+def test_framing_without_end_fails_before_the_body_limit(start, part):
+    """16 MiB in chunks of one byte took seconds of processor time, and
+    ordinary requests on the node were answered too late or not at all.
+    """
+    outcomes, sent_bytes = read_endless_answer(start, part)
+    assert [type(outcome) for outcome in outcomes] == [http1.Failure]
+    assert sent_bytes <= http1.MAX_FRAMING_BYTES + 100_000
+
+
+@pytest.mark.parametrize(("size", "count"), [(1, 36_000), (64, 60_000)])
+def test_whole_answer_in_small_chunks_is_delivered(size, count):
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    script = [CHUNKED, *[chunk * (count // 20)] * 20, b"0\r\n\r\n"]
+    outcomes, _ = send_request(script)
+    assert [len(outcome.body) for outcome in outcomes] == [size * count]
+
+
 @pytest.mark.parametrize("how", ["too long", "cancelled", "reset"])
 def test_answer_that_failed_is_freed_at_once(how):
     """A failed answer stayed with its connection until the garbage collector
