Handle signals before accepting connections

Callers saw: nothing so far.

Cause: a node opened its listeners before the task that handles signals began. A SIGTERM in between ended the process at once, with the connections that it had accepted, in place of a planned stop.

Change: the task that handles signals has begun before the first listener opens.

Test: test_signals_are_handled_before_requests_are_accepted failed before the change, with the default handler at each of the five listeners.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -157,39 +157,44 @@
             self._backend_address,
             self._outbound_proxy.may_serve,
         )
-        servers = [
-            await self._listen(settings.peers, self._peers.accept),
-            await self._listen(
-                settings.heartbeats, lambda: self._accept(server)
-            ),
-            await self._listen(
-                settings.readiness, lambda: self._accept(server)
-            ),
-            await self._listen(
-                settings.metrics,
-                lambda: self._accept(
-                    control.MetricsServer(METRICS_PATH, self._render_metrics)
-                ),
-            ),
-            await self._listen(
-                settings.outbound, lambda: self._accept(self._outbound_proxy)
-            ),
-        ]
-        self._decisions.write(
-            "node_started",
-            False,
-            zone=settings.zone,
-            service=settings.service,
-        )
         self._loop.set_exception_handler(self._on_unhandled_exception)
         async with anyio.create_task_group() as tasks:
+            # Without its handler, a signal would end the process with requests
+            # that it has already accepted.
+            await tasks.start(self._handle_signals)
             tasks.start_soon(self._decisions.run)
+            servers = [
+                await self._listen(settings.peers, self._peers.accept),
+                await self._listen(
+                    settings.heartbeats, lambda: self._accept(server)
+                ),
+                await self._listen(
+                    settings.readiness, lambda: self._accept(server)
+                ),
+                await self._listen(
+                    settings.metrics,
+                    lambda: self._accept(
+                        control.MetricsServer(
+                            METRICS_PATH, self._render_metrics
+                        )
+                    ),
+                ),
+                await self._listen(
+                    settings.outbound,
+                    lambda: self._accept(self._outbound_proxy),
+                ),
+            ]
+            self._decisions.write(
+                "node_started",
+                False,
+                zone=settings.zone,
+                service=settings.service,
+            )
             tasks.start_soon(self._configuration.follow)
             tasks.start_soon(self._registration.maintain)
             tasks.start_soon(self._registration.follow)
             tasks.start_soon(self._run_checks)
             tasks.start_soon(self._watch_settings)
-            tasks.start_soon(self._handle_signals)
             await self._stop_requested.wait()
             await self._drain(servers)
             tasks.cancel_scope.cancel()
@@ -330,7 +335,9 @@
                 suspended_ms=round(pause.suspended_s * 1000),
             )
 
-    async def _handle_signals(self) -> None:
+    async def _handle_signals(
+        self, *, task_status: anyio.abc.TaskStatus[None]
+    ) -> None:
         """Handle signals until the end of the process.
 
         Without a handler, a second signal would end the process during a
@@ -339,6 +346,7 @@
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
+            task_status.started()
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._reload()
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -663,6 +663,26 @@
     assert b'"event":"internal_error"' in run_node(scenario)
 
 
+def test_signals_are_handled_before_requests_are_accepted(
+    run_node, monkeypatch
+):
+    """A SIGTERM between the two ended the process without a planned stop."""
+    handlers = []
+
+    async def scenario(environment):
+        assert handlers
+        assert signal.SIG_DFL not in handlers
+
+    listen = node.Node._listen
+
+    async def recording_listen(self, address, make_protocol):
+        handlers.append(signal.getsignal(signal.SIGTERM))
+        return await listen(self, address, make_protocol)
+
+    monkeypatch.setattr(node.Node, "_listen", recording_listen)
+    run_node(scenario)
+
+
 def test_metrics_are_served(run_node):
     async def scenario(environment):
         await environment.heartbeat()
