Shorten the time in which a SIGHUP ends a starting node

Callers saw: a process that starts while its settings change may end by itself.

Cause: the default action of SIGHUP applies until the program ignores it. The interpreter takes 63 ms until then with its site module, which the node does not need (its libraries are on the path), and the entry point imported other modules first.

Ruled out: the settings and the handler of the running node. Signals 0.1 to 0.9 s after the start end none of the processes.

--- a/src/clementinekeel/__main__.py
+++ b/src/clementinekeel/__main__.py
@@ -1,9 +1,18 @@
 """Entry point of the command ``clementinekeel``."""
 
-import importlib
 import signal
 import sys
-from typing import Any
+
+_PLATFORM_NODE = ["node", "--platform"]
+
+if sys.argv[1:] == _PLATFORM_NODE:
+    # A SIGHUP would end a process that is still starting. It has no settings
+    # to read again yet, so that the signal can be ignored. No import that
+    # takes time comes before.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import importlib  # noqa: E402
+from typing import Any  # noqa: E402
 
 _NODE_ARGUMENTS = 3
 
@@ -16,10 +25,7 @@
         # command line library, which takes 4 MB.
         daemon: Any = importlib.import_module("clementinekeel.daemon.main")
         sys.exit(daemon.run_file(arguments[-1]))
-    if arguments == ["node", "--platform"]:
-        # Its settings are read after this; a signal that they have changed
-        # would otherwise end a process that is still starting.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    if arguments == _PLATFORM_NODE:
         platform: Any = importlib.import_module("clementinekeel.platform.main")
         sys.exit(platform.run())
     application: Any = importlib.import_module(
