Wait for an address that is in use at the start

Callers saw: a node does not start, or ends by itself, when an earlier process still holds its addresses, or another program the port for the metrics.

Cause: the first listener that fails ends the process, at any address and for any time.

Ruled out: ports that rest after a kill.

Change: a listener waits for its address for 3 s. The metrics are served by a task of their own, which waits for as long as it takes and never ends the node.

Tests: test_address_in_use_does_not_end_a_start (three forms) failed before the change; test_address_that_stays_in_use_ends_a_start keeps the limit.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable, Iterator
+import errno
 import itertools
+import math
 import random
 import signal
 from typing import Any
@@ -46,6 +48,10 @@
 """Descriptors reserved for links, the backend server, the store and files."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
+ADDRESS_WAIT_S = 3.0
+"""Time for which a listener waits for an address that is in use; an earlier
+process on the VM may still be ending."""
+ADDRESS_RETRY_S = 0.1
 METRICS_PATH = b"/metrics"
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Reading and comparing the file takes half a millisecond."""
@@ -163,6 +169,7 @@
             # that it has already accepted.
             await tasks.start(self._handle_signals)
             tasks.start_soon(self._decisions.run)
+            tasks.start_soon(self._serve_metrics)
             servers = [
                 await self._listen(settings.peers, self._peers.accept),
                 await self._listen(
@@ -171,14 +178,6 @@
                 await self._listen(
                     settings.readiness, lambda: self._accept(server)
                 ),
-                await self._listen(
-                    settings.metrics,
-                    lambda: self._accept(
-                        control.MetricsServer(
-                            METRICS_PATH, self._render_metrics
-                        )
-                    ),
-                ),
                 await self._listen(
                     settings.outbound,
                     lambda: self._accept(self._outbound_proxy),
@@ -239,10 +238,55 @@
         self,
         address: settings_module.Address,
         make_protocol: Callable[[], asyncio.Protocol],
+        wait_s: float = ADDRESS_WAIT_S,
     ) -> asyncio.Server:
-        return await self._loop.create_server(
-            make_protocol, address.host, address.port, backlog=BACKLOG
-        )
+        """Listen on an address; wait for it while it is in use.
+
+        Raises
+        ------
+        OSError
+            If the address can't be used, or not within ``wait_s`` seconds.
+        """
+        give_up_at = self._loop.time() + wait_s
+        is_logged = False
+        while True:
+            try:
+                return await self._loop.create_server(
+                    make_protocol, address.host, address.port, backlog=BACKLOG
+                )
+            except OSError as error:
+                is_in_use = error.errno == errno.EADDRINUSE
+                if not is_in_use or self._loop.time() >= give_up_at:
+                    raise
+            if not is_logged:
+                is_logged = True
+                self._decisions.write(
+                    "address_in_use",
+                    False,
+                    host=address.host,
+                    port=address.port,
+                )
+            await asyncio.sleep(ADDRESS_RETRY_S)
+
+    async def _serve_metrics(self) -> None:
+        """Serve the metrics; a node serves its callers without them too."""
+
+        def accept() -> http1.ServerConnection:
+            return self._accept(
+                control.MetricsServer(METRICS_PATH, self._render_metrics)
+            )
+
+        try:
+            listener = await self._listen(
+                self._settings.metrics, accept, math.inf
+            )
+        except OSError as error:
+            self._decisions.write("metrics_failed", False, reason=str(error))
+            return
+        try:
+            await anyio.sleep_forever()
+        finally:
+            listener.close()
 
     def _accept(self, server: http1.Server) -> http1.ServerConnection:
         return http1.ServerConnection(server, self._on_open, self._on_close)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -1,6 +1,7 @@
 """A whole node: its listeners, heartbeats, readiness and planned stop."""
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -683,6 +684,63 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("name", ["outbound", "peers", "metrics"])
+def test_address_in_use_does_not_end_a_start(run_node, monkeypatch, name):
+    """An earlier process that had not ended yet, or a program of the
+    operators at the port for the metrics, ended a node at its start.
+    """
+
+    async def scenario(environment):
+        address = getattr(environment.settings, name)
+        loop = asyncio.get_running_loop()
+        create_server, refused = loop.create_server, []
+
+        async def create(factory, host, port, **options):
+            if (host, port) == address and len(refused) < 5:
+                refused.append(port)
+                raise OSError(errno.EADDRINUSE, "in use")
+            return await create_server(factory, host, port, **options)
+
+        os.kill(os.getpid(), signal.SIGTERM)
+        await environment.task
+        monkeypatch.setattr(loop, "create_server", create)
+        environment.node = node.Node(
+            environment.settings, environment.adapter()
+        )
+        await environment.start()
+        await harness.settle(0.6)
+        assert len(refused) == 5
+        assert await environment.is_ready()
+        answer = await call(
+            environment.settings.metrics, b"GET /metrics HTTP/1.1\r\n\r\n"
+        )
+        assert answer.status == 200
+
+    assert b'"event":"address_in_use"' in run_node(scenario)
+
+
+def test_address_that_stays_in_use_ends_a_start(run_node, monkeypatch):
+    async def scenario(environment):
+        os.kill(os.getpid(), signal.SIGTERM)
+        await environment.task
+
+        async def refuse(factory, host, port, **options):
+            raise OSError(errno.EADDRINUSE, "in use")
+
+        monkeypatch.setattr(
+            asyncio.get_running_loop(), "create_server", refuse
+        )
+        environment.node = node.Node(
+            environment.settings, environment.adapter()
+        )
+        await environment.start()
+        await harness.settle(10)
+        assert environment.task.done()
+        assert environment.task.exception() is not None
+
+    run_node(scenario)
+
+
 def test_metrics_are_served(run_node):
     async def scenario(environment):
         await environment.heartbeat()
