Read faulty settings again at the start

Callers saw: a node that starts while its settings file is being written does not start.

Cause: the start read the file once, and a part of it is faulty in nearly every case.

Ruled out: a running node.

Change: faulty settings are read again each 0.1 s for 2 s. Settings that stay faulty end the start with the same message as before.

Tests: test_settings_that_are_being_written_do_not_end_a_start (four forms) and the wait of test_settings_that_stay_faulty_end_a_start failed before the change.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -2,8 +2,10 @@
 
 import gc
 import sys
+import time
 
 import anyio
+from returns import result
 import uvloop
 
 from clementinekeel.platform import configuration
@@ -11,11 +13,16 @@
 from clementinekeel.platform import heartbeats
 from clementinekeel.platform import settings as settings_module
 from clementinekeel.platform import store
+from clementinekeel.runtime import errors
 from clementinekeel.sidecar import adapter as adapter_module
 from clementinekeel.sidecar import node
 from clementinekeel.sidecar import settings as sidecar_settings
 
 EXIT_FAULTY = 1
+SETTINGS_WAIT_S = 2.0
+"""Time for which faulty settings are read again at the start: the platform may
+be writing the file at that moment."""
+SETTINGS_RETRY_S = 0.1
 GC_THRESHOLD = 20_000
 """Requests leave few reference cycles, so that collections are rare and short
 with this threshold."""
@@ -30,7 +37,7 @@
         Exit code: 0 after a planned stop, 1 if the settings are faulty.
     """
     path = settings_module.settings_path()
-    loaded = settings_module.load_settings(path)
+    loaded = _load_settings(path)
     settings = loaded.value_or(None)
     if settings is None:
         print(loaded.failure(), file=sys.stderr)
@@ -40,6 +47,18 @@
     return 0
 
 
+def _load_settings(
+    path: str,
+) -> result.Result[sidecar_settings.SidecarSettings, errors.StepError]:
+    """Read the settings, again and again for a while if they are faulty."""
+    for _ in range(round(SETTINGS_WAIT_S / SETTINGS_RETRY_S)):
+        loaded = settings_module.load_settings(path)
+        if loaded.value_or(None) is not None:
+            return loaded
+        time.sleep(SETTINGS_RETRY_S)
+    return settings_module.load_settings(path)
+
+
 async def _run(settings: sidecar_settings.SidecarSettings, path: str) -> None:
     adapter = adapter_module.PlatformAdapter(
         dialect=dialect.DIALECT,
