Name the outcomes of a health check in the verifier

Cause: the condition for a failed health check was hard to read: a flag said that the check had run where its answer only did not say the opposite.

Change: rejected and failed checks have names of their own.

--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -205,23 +205,23 @@
         report = self_report.decode(
             headers, self._dialect.rate_limit, self._dialect.leaving
         )
-        named = dict(headers)
-        has_run = self._dialect.not_run not in named
+        values = dict(headers)
+        is_rejected = self._dialect.not_run in values
+        endpoint = values.get(self._dialect.instance, b"").decode("latin-1")
         health = _Health(
-            named.get(self._dialect.instance, b"").decode("latin-1")
-            if has_run
-            else "",
+            "" if is_rejected else endpoint,
             answer is not None
             and answer.status == 200
             and not report.is_leaving,
         )
+        has_failed = (
+            answer is not None and not is_rejected and not health.is_healthy
+        )
         if health.is_healthy:
             self._unhealthy_endpoint = ""
-        elif answer is not None and has_run and self._candidate is not None:
+        elif has_failed and self._candidate is not None:
             # A failure need not name the backend server.
-            self._unhealthy_endpoint = (
-                health.endpoint or self._candidate.endpoint
-            )
+            self._unhealthy_endpoint = endpoint or self._candidate.endpoint
         self._decisions.write(
             "backend_probed",
             False,
