Open missing standard streams before anything else

Operators saw: a node that was started with standard output closed (also with 1 and 2, or 0 to 2 closed) ended at once by signal 6, with `uv__close: Assertion 'fd > STDERR_FILENO' failed`.

Cause: the event loop's sockets got the lowest free descriptors, which were those of the closed streams, and libuv refuses to close these.

Change: the entry point opens each missing stream on the null device and sets sys.stdin, sys.stdout and sys.stderr, for all commands. It comes after SIGHUP is ignored, since a signal can arrive at any time, and before all other imports, since a library may keep a descriptor open.

--- a/src/clementinekeel/__main__.py
+++ b/src/clementinekeel/__main__.py
@@ -11,6 +11,11 @@
     # takes time comes before.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from clementinekeel.runtime import standard_streams  # noqa: E402
+
+# Before the other imports, since a library may keep a descriptor open.
+standard_streams.open_missing()
+
 import importlib  # noqa: E402
 from typing import Any  # noqa: E402
 
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -1,8 +1,12 @@
 """The entry point of the command."""
 
+import itertools
+import os
 import subprocess
 import sys
 
+import pytest
+
 PROGRAM = """
 import signal
 import sys
@@ -19,6 +23,28 @@
 import clementinekeel.__main__
 """
 
+SERVER = """
+import asyncio
+import sys
+
+sys.argv = ["clementinekeel"]
+import clementinekeel.__main__
+import uvloop
+
+async def main():
+    server = await asyncio.get_running_loop().create_server(
+        asyncio.Protocol, "127.0.0.1", 0
+    )
+    assert server.sockets[0].fileno() > 2
+    server.close()
+
+uvloop.run(main())
+assert sys.stdin.read() == ""
+print("out", flush=True)
+print("error", file=sys.stderr, flush=True)
+"""
+STREAMS = (0, 1, 2)
+
 
 def test_platform_node_ignores_sighup_before_other_imports():
     """A SIGHUP in the first tens of milliseconds ended the process."""
@@ -34,3 +60,30 @@
         "clementinekeel.__main__",
         "clementinekeel._version",
     ]
+
+
+@pytest.mark.parametrize(
+    "closed",
+    [
+        closed
+        for count in range(len(STREAMS) + 1)
+        for closed in itertools.combinations(STREAMS, count)
+    ],
+    ids=lambda closed: "closed_" + "_".join(map(str, closed)),
+)
+def test_closed_standard_streams_do_not_end_a_process(closed):
+    """A socket got the descriptor of standard output, and libuv aborted."""
+    null = [
+        (os.POSIX_SPAWN_OPEN, stream, os.devnull, os.O_RDWR, 0)
+        for stream in STREAMS
+        if stream not in closed
+    ]
+    process = os.posix_spawn(
+        sys.executable,
+        [sys.executable, "-c", SERVER],
+        {"PYTHONPATH": "src"},
+        file_actions=[(os.POSIX_SPAWN_CLOSE, stream) for stream in closed]
+        + null,
+    )
+    _, status = os.waitpid(process, 0)
+    assert os.waitstatus_to_exitcode(status) == 0
