Return an error for any content of the settings file

Operators saw: a running node ended with exit code 1 and all requests on it when it got SIGHUP, or within 2 s without it, while its settings held `budget_extra = 1e400`, `grace_s = inf` or arrays nested 3,000 deep; a start ended with a traceback. `memory_mb = 0`, `grace_s = -1`, an empty service and a port of 99999, which wraps, were accepted.

Cause: the reader caught OSError and ValueError only, and numbers were converted unchecked. The exception went through the task that reads the settings again into the task group of the node.

Change: the fields are read and checked one by one (platform/_fields.py), and any exception of the parser is an error of the file. The error names the file and, for each faulty field, its value and what is allowed. Only values that cannot be used are refused: a grace time of 0, fractions of a megabyte or a list of one port are not. The file is read up to 1 MiB. A refused reload leaves all settings as they were, is logged once for each content of the file, also without a signal, and counts in `refused_reloads`. A missing variable is named.

--- a/src/clementinekeel/platform/settings.py
+++ b/src/clementinekeel/platform/settings.py
@@ -1,12 +1,12 @@
 """Reads the settings file that the users' platform writes for a node."""
 
 import os
-import pathlib
 import tomllib
+from typing import Any
 
-import msgspec
 from returns import result
 
+from clementinekeel.platform import _fields
 from clementinekeel.runtime import errors
 from clementinekeel.sidecar import settings
 
@@ -14,62 +14,13 @@
 MS_PER_S = 1000
 METRICS_PORT = 9102
 """Port for the metrics according to ``deploy/system.toml``."""
-
-
-class _Limits(msgspec.Struct):
-    memory_mb: int
-    max_fds: int
-
-
-class _Self(msgspec.Struct):
-    node_name: str
-    ip: str
-    zone: str
-    region: str
-    # Address of the backend server on the same VM.
-    app_addr: str
-    service: str
-    limits: _Limits
-
-
-class _Listen(msgspec.Struct):
-    outbound: str
-    ready: str
-    control: str
-
-
-class _Network(msgspec.Struct):
-    # First and last port for communication between nodes.
-    port_range: tuple[int, int]
-    bind_addrs: _Listen
-
-
-class _Store(msgspec.Struct):
-    address: str
-    ttl_min_s: float = 1.0
-
-
-class _Platform(msgspec.Struct):
-    platform: _Store
-
-
-class _Bounds(msgspec.Struct):
-    grace_s: float = 6.0
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    budget_extra: float = 48.0
-
-
-class _Terms(msgspec.Struct):
-    contract_params: _Bounds = msgspec.field(default_factory=_Bounds)
-
-
-class _File(msgspec.Struct):
-    # VM and node; the underscore avoids the name of the instance argument.
-    self_: _Self = msgspec.field(name="self")
-    network: _Network = msgspec.field()
-    platform: _Platform = msgspec.field()
-    terms: _Terms = msgspec.field(default_factory=_Terms)
+MAX_FILE_BYTES = 1024 * 1024
+"""The platform's files take a few kilobytes, and a longer one would keep the
+node from its requests while it is read."""
+AMOUNTS = _fields.Range(0, 1e9)
+POSITIVE_AMOUNTS = _fields.Range(1, 1e9)
+WINDOWS_S = _fields.Range(0.001, 1e9)
+"""The node counts in milliseconds and divides by the length of a window."""
 
 
 def settings_path() -> str:
@@ -90,47 +41,78 @@
     Returns
     -------
     Result
-        The settings, or an error that names the faulty field.
+        The settings, or an error that names each faulty field, its value and
+        what is allowed.
     """
+    if not path:
+        return _failure(path, f"the variable {PATH_VARIABLE} is not set")
     try:
-        content = tomllib.loads(pathlib.Path(path).read_text())
-        return result.Success(_convert(msgspec.convert(content, _File)))
-    except (OSError, ValueError) as error:
-        return result.Failure(
-            errors.StepError("read settings", path, str(error))
-        )
+        content = _read(path)
+    # The parser raises more than its own error, for example RecursionError,
+    # and any exception from here would end a running node.
+    except Exception as error:
+        return _failure(path, str(error) or type(error).__name__)
+    fields = _fields.Fields(content)
+    converted = _convert(fields)
+    if fields.faults:
+        return _failure(path, "; ".join(fields.faults))
+    return result.Success(converted)
+
+
+def _failure(
+    path: str, reason: str
+) -> result.Result[settings.SidecarSettings, errors.StepError]:
+    return result.Failure(errors.StepError("read settings", path, reason))
 
 
-def _address(text: str) -> settings.Address:
-    host, _, port = text.rpartition(":")
-    return settings.Address(host, int(port))
+def _read(path: str) -> dict[str, Any]:
+    with open(path, "rb") as file:
+        content = file.read(MAX_FILE_BYTES + 1)
+    if len(content) > MAX_FILE_BYTES:
+        raise ValueError(f"longer than {MAX_FILE_BYTES} bytes")
+    return tomllib.loads(content.decode())
 
 
 def _ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
 
 
-def _convert(file: _File) -> settings.SidecarSettings:
-    machine, listen = file.self_, file.network.bind_addrs
-    first_port = file.network.port_range[0]
-    bounds, store = file.terms.contract_params, file.platform.platform
+def _convert(fields: _fields.Fields) -> settings.SidecarSettings:
+    """Convert the fields of the file."""
+    bounds = "terms.contract_params"
+    # Address of the VM.
+    ip = fields.host("self.ip")
     return settings.SidecarSettings(
-        node=machine.node_name,
-        zone=machine.zone,
-        region=machine.region,
-        service=machine.service,
-        backend=_address(machine.app_addr),
-        outbound=_address(listen.outbound),
-        readiness=_address(listen.ready),
-        heartbeats=_address(listen.control),
-        peers=settings.Address(machine.ip, first_port),
-        metrics=settings.Address(machine.ip, METRICS_PORT),
-        store=_address(store.address),
-        lease_min_ms=_ms(store.ttl_min_s),
-        memory_mb=machine.limits.memory_mb,
-        max_descriptors=machine.limits.max_fds,
-        stop_timeout_ms=_ms(bounds.grace_s),
-        retry_ratio=bounds.retry_budget_ratio,
-        extra_retries=round(bounds.budget_extra),
-        retry_window_ms=_ms(bounds.budget_window_s),
+        node=fields.text("self.node_name"),
+        zone=fields.text("self.zone"),
+        region=fields.text("self.region"),
+        service=fields.text("self.service"),
+        # Address of the backend server on the same VM.
+        backend=fields.address("self.app_addr"),
+        outbound=fields.address("network.bind_addrs.outbound"),
+        readiness=fields.address("network.bind_addrs.ready"),
+        heartbeats=fields.address("network.bind_addrs.control"),
+        # First and last port for communication between nodes.
+        peers=settings.Address(ip, fields.first_port("network.port_range")),
+        metrics=settings.Address(ip, METRICS_PORT),
+        store=fields.address("platform.platform.address"),
+        lease_min_ms=_ms(
+            fields.number("platform.platform.ttl_min_s", AMOUNTS, 1.0)
+        ),
+        memory_mb=int(
+            fields.number("self.limits.memory_mb", POSITIVE_AMOUNTS)
+        ),
+        max_descriptors=int(
+            fields.number("self.limits.max_fds", POSITIVE_AMOUNTS)
+        ),
+        stop_timeout_ms=_ms(fields.number(f"{bounds}.grace_s", AMOUNTS, 6.0)),
+        retry_ratio=fields.number(
+            f"{bounds}.retry_budget_ratio", AMOUNTS, 0.2
+        ),
+        extra_retries=round(
+            fields.number(f"{bounds}.budget_extra", AMOUNTS, 48.0)
+        ),
+        retry_window_ms=_ms(
+            fields.number(f"{bounds}.budget_window_s", WINDOWS_S, 10.0)
+        ),
     )
--- a/src/clementinekeel/sidecar/metrics.py
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -73,6 +73,7 @@
     Description("store_epoch", "Number of the store's history, 0 if unknown."),
     Description("store_calls", "Calls to the store since the start."),
     Description("store_failures", "Those without a usable answer."),
+    Description("refused_reloads", "Reloads with settings that have faults."),
     Description("log_lines_left_out", "Log lines not written, by rule."),
 )
 
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -11,6 +11,7 @@
 
 import anyio
 import anyio.abc
+from returns import result
 
 from clementinekeel.callers import http1
 from clementinekeel.membership import heartbeats
@@ -60,6 +61,10 @@
 FLUSH_S = 0.05
 """Time for the last answers to be sent before the process ends."""
 
+_LoadedSettings = result.Result[
+    settings_module.SidecarSettings, errors.StepError
+]
+
 
 class Node:
     """One forwarding node."""
@@ -70,6 +75,8 @@
         adapter: adapter_module.PlatformAdapter,
     ) -> None:
         self._settings = settings
+        self._latest_content: settings_module.SidecarSettings | str = settings
+        self._refused_reloads = 0
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
         self._decisions = decision_log.DecisionLog(settings.node)
@@ -345,6 +352,7 @@
         yield sample("store_epoch", self._store_connections.epoch)
         yield sample("store_calls", self._store_connections.calls)
         yield sample("store_failures", self._store_connections.failures)
+        yield sample("refused_reloads", self._refused_reloads)
         for rule, count in self._decisions.lines_left_out.items():
             yield sample("log_lines_left_out", count, rule=rule)
 
@@ -402,24 +410,36 @@
 
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes without a signal."""
-        known = self._adapter.reload_settings().value_or(None)
         while True:
             await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
-            changed = self._adapter.reload_settings().value_or(None)
-            if changed is not None and changed != known:
-                known = changed
-                self._reload()
+            loaded = self._adapter.reload_settings()
+            if self._content_of(loaded) != self._latest_content:
+                self._apply(loaded)
 
     def _reload(self) -> None:
-        loaded = self._adapter.reload_settings()
+        self._apply(self._adapter.reload_settings())
+
+    def _apply(self, loaded: _LoadedSettings) -> None:
+        """Use changed settings, or none of them if they were refused."""
+        self._latest_content = self._content_of(loaded)
         changed = loaded.value_or(None)
         if changed is None:
-            error: errors.StepError = loaded.failure()
-            self._decisions.write("reload_failed", False, reason=str(error))
+            self._refused_reloads += 1
+            self._decisions.write(
+                "reload_failed", False, reason=str(loaded.failure())
+            )
             return
         self._decisions.write("reloaded", False, service=changed.service)
         self._outbound_proxy.service = changed.service
 
+    @staticmethod
+    def _content_of(
+        loaded: _LoadedSettings,
+    ) -> settings_module.SidecarSettings | str:
+        """Return the settings or the text of the error, to be compared."""
+        changed = loaded.value_or(None)
+        return str(loaded.failure()) if changed is None else changed
+
     async def _drain(self, servers: list[asyncio.Server]) -> None:
         """Answer accepted requests, and end shortly before the kill."""
         plan = stop_plan.plan_stop(self._settings.stop_timeout_ms / 1000)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -11,10 +11,12 @@
 
 from clementinekeel.backends import http1
 from clementinekeel.membership import heartbeats
+from clementinekeel.platform import settings as platform_settings
 from clementinekeel.runtime import errors
 from clementinekeel.sidecar import adapter as adapter_module
 from clementinekeel.sidecar import node
 from tests import memory_loop
+from tests.platform import test_settings
 from tests.sidecar import harness
 from tests.sidecar import test_configuration
 from tests.sidecar import test_registration
@@ -328,6 +330,64 @@
     assert b'"event":"reloaded"' in run_node(scenario)
 
 
+async def metric(environment, name):
+    """Return the line of a metric without labels."""
+    answer = await call(
+        environment.settings.metrics, b"GET /metrics HTTP/1.1\r\n\r\n"
+    )
+    (line,) = (
+        line
+        for line in answer.body.decode().splitlines()
+        if line.startswith(f"clementinekeel_{name} ")
+    )
+    return float(line.split()[1])
+
+
+@pytest.mark.parametrize("is_signalled", [True, False], ids=["hup", "poll"])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        "budget_extra = 1e400",
+        "grace_s = inf",
+        "new = " + "[" * 3_000 + "]" * 3_000,
+        "budget_window_s = 0",
+    ],
+    ids=["infinite", "infinite_time", "nested", "zero"],
+)
+def test_faulty_settings_do_not_end_a_running_node(
+    run_node, tmp_path, fault, is_signalled
+):
+    """An exception of the reader ended the node with all its requests; a
+    refused reload must leave all settings as they were.
+    """
+    path = tmp_path / "settings.toml"
+    good = test_settings.FILE.replace('service = "s"', 'service = "other"')
+
+    async def reload(environment, text):
+        path.write_text(text)
+        if is_signalled:
+            os.kill(os.getpid(), signal.SIGHUP)
+        await harness.settle(5)
+
+    async def scenario(environment):
+        environment.node._adapter.reload_settings = lambda: (
+            platform_settings.load_settings(str(path))
+        )
+        await environment.heartbeat()
+        await reload(environment, good.replace("grace_s = 5", fault))
+        await environment.request(1)
+        assert environment.server.requests[-1][1][b"caller"] == b"s"
+        assert await metric(environment, "refused_reloads") == 1
+        await reload(environment, good)
+        await environment.request(2)
+        assert environment.server.requests[-1][1][b"caller"] == b"other"
+        assert await metric(environment, "refused_reloads") == 1
+
+    log = run_node(scenario)
+    assert log.count(b'"event":"reload_failed"') == 1
+    assert b'"event":"internal_error"' not in log
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 def test_second_signal_does_not_end_a_planned_stop(run_node, number):
     """Without a handler it ends the process with requests in flight."""
