Restart a node's tasks after unexpected errors

All long-lived tasks of a node run in one task group, in which an error of one cancels all others and ends the process with its requests. Seen: OverflowError and RecursionError of a reload, through _handle_signals.

The signal receiver stays open over restarts, and each signal and each periodic check is carried out by itself. A SIGTERM sets the stop before its log line is written.

The new tests raise in each task and in each check while a request is in flight; the node must answer it, take further ones, and do the task's work once the errors end.

--- a/src/clementinekeel/sidecar/metrics.py
+++ b/src/clementinekeel/sidecar/metrics.py
@@ -74,6 +74,7 @@
     Description("store_calls", "Calls to the store since the start."),
     Description("store_failures", "Those without a usable answer."),
     Description("refused_reloads", "Reloads with settings that have faults."),
+    Description("task_failures_unreported", "Task failures without a line."),
     Description("log_lines_left_out", "Log lines not written, by rule."),
 )
 
@@ -103,6 +104,11 @@
             "Retries by service, cause, and whether the budget allowed them.",
             registry=self._registry,
         )
+        self._task_failures = collectors.Counter(
+            PREFIX + "task_failures_total",
+            "Unexpected errors of the node's tasks, by task and error.",
+            registry=self._registry,
+        )
         self._request_ms = collectors.Histogram(
             PREFIX + "request_duration_ms",
             "Time from a request's first byte to its answer, by rank.",
@@ -165,6 +171,10 @@
             }
         )
 
+    def on_task_failed(self, task: str, error: str) -> None:
+        """Count an unexpected error of a long-lived task."""
+        self._task_failures.inc({"task": task, "error": error})
+
     def render(self, samples: Iterable[Sample]) -> bytes:
         """Return all metrics in the text format.
 
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -1,8 +1,9 @@
 """A forwarding node: its parts, listeners, tasks and planned stop."""
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 import errno
+import functools
 import itertools
 import math
 import random
@@ -19,6 +20,7 @@
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import errors
 from clementinekeel.runtime import pauses
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import adapter as adapter_module
 from clementinekeel.sidecar import backend_verification
 from clementinekeel.sidecar import chain
@@ -75,12 +77,15 @@
         adapter: adapter_module.PlatformAdapter,
     ) -> None:
         self._settings = settings
+        # Settings or refusal seen last, so that a restart of the watch misses
+        # no change.
         self._latest_content: settings_module.SidecarSettings | str = settings
         self._refused_reloads = 0
         self._adapter = adapter
         self._loop = asyncio.get_running_loop()
         self._decisions = decision_log.DecisionLog(settings.node)
         self._metrics = metrics.NodeMetrics()
+        self._supervisor = supervision.Supervisor(self._on_task_failed)
         incarnation = random.SystemRandom().getrandbits(53)
         self._pauses = pauses.PauseDetector(
             self._loop.time, pauses.seconds_since_boot, CHECK_INTERVAL_S
@@ -175,8 +180,14 @@
             # Without its handler, a signal would end the process with requests
             # that it has already accepted.
             await tasks.start(self._handle_signals)
-            tasks.start_soon(self._decisions.run)
-            tasks.start_soon(self._serve_metrics)
+
+            def keep_running(
+                task: str, function: Callable[[], Awaitable[object]]
+            ) -> None:
+                tasks.start_soon(self._supervisor.keep_running, task, function)
+
+            keep_running("log", self._decisions.run)
+            keep_running("metrics", self._serve_metrics)
             servers = [
                 await self._listen(settings.peers, self._peers.accept),
                 await self._listen(
@@ -196,11 +207,11 @@
                 zone=settings.zone,
                 service=settings.service,
             )
-            tasks.start_soon(self._configuration.follow)
-            tasks.start_soon(self._registration.maintain)
-            tasks.start_soon(self._registration.follow)
-            tasks.start_soon(self._run_checks)
-            tasks.start_soon(self._watch_settings)
+            keep_running("configuration", self._configuration.follow)
+            keep_running("registration", self._registration.maintain)
+            keep_running("node_list", self._registration.follow)
+            keep_running("checks", self._run_checks)
+            keep_running("settings", self._watch_settings)
             await self._stop_requested.wait()
             await self._drain(servers)
             tasks.cancel_scope.cancel()
@@ -210,12 +221,29 @@
     def _on_unhandled_exception(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
     ) -> None:
-        """Log an unhandled exception; a request that caused it times out."""
+        """Log and count an error that no task or request has handled."""
+        error = context.get("exception")
+        failure = supervision.Failure("event_loop", "", "")
+        if error is not None:
+            failure = supervision.describe("event_loop", error)
+        self._metrics.on_task_failed(failure.task, failure.error)
         self._decisions.write(
             "internal_error",
             False,
             reason=str(context.get("message", "")),
-            error=repr(context.get("exception")),
+            error=failure.error,
+            trace=failure.trace,
+        )
+
+    def _on_task_failed(self, failure: supervision.Failure) -> None:
+        # Counted first: the error may be one of the log.
+        self._metrics.on_task_failed(failure.task, failure.error)
+        self._decisions.write(
+            "task_failed",
+            False,
+            task=failure.task,
+            error=failure.error,
+            trace=failure.trace,
         )
 
     def _on_store_epoch(self, before: int, epoch: int) -> None:
@@ -353,24 +381,33 @@
         yield sample("store_calls", self._store_connections.calls)
         yield sample("store_failures", self._store_connections.failures)
         yield sample("refused_reloads", self._refused_reloads)
+        yield sample("task_failures_unreported", self._supervisor.unreported)
         for rule, count in self._decisions.lines_left_out.items():
             yield sample("log_lines_left_out", count, rule=rule)
 
     async def _run_checks(self) -> None:
+        attempt = self._supervisor.attempt
         for number in itertools.count():
             await asyncio.sleep(CHECK_INTERVAL_S)
-            pause = self._pauses.check()
-            if pause is not None:
-                self._on_pause(pause)
-            self._peers.check_waiting_links()
-            self._outbound_proxy.tick()
+            # One by one: a check that fails must not stop the others.
+            attempt("checks", self._check_pause)
+            attempt("checks", self._peers.check_waiting_links)
+            attempt("checks", self._outbound_proxy.tick)
             if number % CHECKS_PER_ROUND:
                 continue
-            self._peers.tick()
-            self._inbound_proxy.tick()
-            now = self._loop.time()
-            for connection in list(self._connections):
-                connection.check_timeouts(now)
+            attempt("checks", self._peers.tick)
+            attempt("checks", self._inbound_proxy.tick)
+            attempt("checks", self._check_connections)
+
+    def _check_pause(self) -> None:
+        pause = self._pauses.check()
+        if pause is not None:
+            self._on_pause(pause)
+
+    def _check_connections(self) -> None:
+        now = self._loop.time()
+        for connection in list(self._connections):
+            connection.check_timeouts(now)
 
     def _on_pause(self, pause: pauses.Pause) -> None:
         """Make up for a time in which the process did not run."""
@@ -399,14 +436,26 @@
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             task_status.started()
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    self._reload()
-                    continue
-                self._decisions.write(
-                    "stop_requested", False, signal=int(number)
-                )
-                self._stop_requested.set()
+            # The receiver stays open over restarts: while it is closed, a
+            # signal ends the process.
+            await self._supervisor.keep_running(
+                "signals", lambda: self._follow_signals(signals)
+            )
+
+    async def _follow_signals(
+        self, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        async for number in signals:
+            self._supervisor.attempt(
+                "signals", functools.partial(self._on_signal, number)
+            )
+
+    def _on_signal(self, number: signal.Signals) -> None:
+        if number == signal.SIGHUP:
+            self._reload()
+            return
+        self._stop_requested.set()
+        self._decisions.write("stop_requested", False, signal=int(number))
 
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes without a signal."""
@@ -429,8 +478,8 @@
                 "reload_failed", False, reason=str(loaded.failure())
             )
             return
-        self._decisions.write("reloaded", False, service=changed.service)
         self._outbound_proxy.service = changed.service
+        self._decisions.write("reloaded", False, service=changed.service)
 
     @staticmethod
     def _content_of(
--- /dev/null
+++ b/tests/sidecar/test_node_errors.py
@@ -0,0 +1,347 @@
+"""Errors that a node does not expect, in each of its tasks.
+
+Any of them ended the process, and with it the requests of all its callers.
+"""
+
+import asyncio
+import os
+import signal
+
+import pytest
+
+from clementinekeel.backends import http1
+from clementinekeel.runtime import pauses
+from clementinekeel.sidecar import registration
+from tests.sidecar import harness
+from tests.sidecar import test_node
+
+run_node = test_node.run_node
+
+
+class UnexpectedError(Exception):
+    """Takes the place of an error that nobody has thought of."""
+
+
+class FailingCalls:
+    """Makes a method of an object fail while ``is_failing``."""
+
+    def __init__(self, monkeypatch, owner, name, applies=lambda *a: True):
+        self.is_failing = True
+        self.count = 0
+        original = getattr(owner, name)
+
+        def call(*arguments, **options):
+            if self.is_failing and applies(*arguments):
+                self.count += 1
+                raise UnexpectedError(name)
+            return original(*arguments, **options)
+
+        monkeypatch.setattr(owner, name, call)
+
+
+def send_signal(number):
+    """Send a signal to the node; without its handler it ends the tests."""
+    assert signal.getsignal(number) is not signal.SIG_DFL
+    os.kill(os.getpid(), number)
+
+
+async def begin_request(environment, number=1):
+    """Begin a request that the backend server does not answer yet."""
+    held = []
+    environment.behave = lambda c, h, i: held.append((c, i))
+    request = asyncio.ensure_future(
+        environment.request(number, b"/long/x", timeout_s=30.0)
+    )
+    await harness.settle(0.1)
+    environment.behave = lambda c, h, i: c.answer(i)
+    ((connection, request_id),) = held
+    return request, lambda: connection.answer(request_id)
+
+
+async def prepare(environment):
+    await environment.heartbeat()
+    long_route = harness.ROUTE._replace(prefix="/long/", timeout_ms=30_000)
+    environment.node._outbound_proxy.activate(
+        harness.routing_table(2, (harness.ROUTE, long_route))
+    )
+    await harness.settle(0.1)
+
+
+def patch_log(monkeypatch, environment):
+    return FailingCalls(monkeypatch, environment.node._decisions, "flush")
+
+
+async def log_works(environment):
+    environment.node._decisions.write("store_regained", False, marker=1)
+    await harness.settle(0.3)
+    assert not environment.node._decisions._lines
+
+
+def patch_configuration(monkeypatch, environment):
+    faults = FailingCalls(
+        monkeypatch, environment.store, "watch", lambda key, *_: key == "conf"
+    )
+    environment.store.put("conf", b"3")
+    return faults
+
+
+async def configuration_works(environment):
+    environment.store.put("conf", b"4")
+    await harness.settle(0.1)
+    assert environment.node._outbound_proxy.version == 4
+
+
+def patch_decoder(monkeypatch, environment):
+    faults = FailingCalls(
+        monkeypatch, environment.node._configuration, "_decode"
+    )
+    environment.store.put("conf", b"3")
+    return faults
+
+
+def patch_registration(monkeypatch, environment):
+    return FailingCalls(monkeypatch, environment.store, "renew")
+
+
+async def registration_works(environment):
+    key = environment.node._registration._key
+    environment.store.remove(key)
+    await harness.settle(registration.RENEWAL_INTERVAL_S)
+    assert key in environment.store.items
+
+
+def patch_node_list(monkeypatch, environment):
+    faults = FailingCalls(
+        monkeypatch, environment.node._registration, "_apply"
+    )
+    put_node(environment, "n7")
+    return faults
+
+
+def put_node(environment, name):
+    entry = b'{"host":"%s","port":5,"zone":"z1","region":"r1"}'
+    environment.store.put(f"nodes/{name}", entry % name.encode())
+
+
+async def node_list_works(environment):
+    put_node(environment, "n8")
+    await harness.settle(registration.WATCH_PAUSE_S + 0.1)
+    assert {"n7", "n8"} <= set(environment.node._peers._peers)
+
+
+def patch_settings(monkeypatch, environment):
+    environment.reloaded = environment.settings._replace(service="other")
+    return FailingCalls(
+        monkeypatch, environment.node._adapter, "reload_settings"
+    )
+
+
+async def settings_work(environment):
+    assert environment.node._outbound_proxy.service == "other"
+    environment.reloaded = environment.settings._replace(service="third")
+    await harness.settle(5)
+    assert environment.node._outbound_proxy.service == "third"
+
+
+def patch_metrics(monkeypatch, environment):
+    """End the listener for the metrics; its address can't be used again."""
+    return FailingCalls(
+        monkeypatch,
+        environment.node,
+        "_listen",
+        lambda address, *_: address == environment.settings.metrics,
+    )
+
+
+async def metrics_work(environment):
+    answer = await test_node.call(
+        environment.settings.metrics, b"GET /metrics HTTP/1.1\r\n\r\n"
+    )
+    assert isinstance(answer, http1.Answer)
+    assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    ("patch", "works"),
+    [
+        pytest.param(patch_log, log_works, id="log"),
+        pytest.param(
+            patch_configuration, configuration_works, id="configuration"
+        ),
+        pytest.param(
+            patch_decoder, configuration_works, id="configuration_decoder"
+        ),
+        pytest.param(
+            patch_registration, registration_works, id="registration"
+        ),
+        pytest.param(patch_node_list, node_list_works, id="node_list"),
+        pytest.param(patch_settings, settings_work, id="settings"),
+    ],
+)
+def test_node_serves_while_a_task_fails_and_recovers(
+    run_node, monkeypatch, patch, works
+):
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+        faults = patch(monkeypatch, environment)
+        await harness.settle(8)
+        assert faults.count >= 3
+        assert not environment.task.done()
+        assert (await environment.request(2)).status == 200
+        answer()
+        assert (await request).status == 200
+        faults.is_failing = False
+        await harness.settle(5)
+        await works(environment)
+
+    assert b'"event":"task_failed"' in run_node(scenario)
+
+
+def test_node_starts_while_the_metrics_fail(run_node, monkeypatch):
+    faults = []
+    listen = test_node.node.Node._listen
+
+    async def failing_listen(self, address, *arguments):
+        if address.port == harness.SETTINGS.metrics.port and len(faults) < 3:
+            faults.append(address)
+            raise UnexpectedError
+        return await listen(self, address, *arguments)
+
+    monkeypatch.setattr(test_node.node.Node, "_listen", failing_listen)
+
+    async def scenario(environment):
+        await prepare(environment)
+        assert (await environment.request(1)).status == 200
+        await harness.settle(5)
+        assert len(faults) == 3
+        await metrics_work(environment)
+
+    assert b'"task":"metrics"' in run_node(scenario)
+
+
+CHECKS = (
+    ("_node", "_on_pause"),
+    ("_peers", "check_waiting_links"),
+    ("_outbound_proxy", "tick"),
+    ("_peers", "tick"),
+    ("_inbound_proxy", "tick"),
+    ("_node", "_check_connections"),
+)
+
+
+@pytest.mark.parametrize(("owner", "name"), CHECKS)
+def test_failing_check_does_not_stop_the_others(
+    run_node, monkeypatch, owner, name
+):
+    """Silent links, overdue attempts and idle connections would stay."""
+
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+        node = environment.node
+        owners = {"_node": node}
+        check_pause = node._pauses.check
+        monkeypatch.setattr(
+            node._pauses, "check", lambda: check_pause() or pauses.Pause(0, 0)
+        )
+        faults = FailingCalls(
+            monkeypatch, owners.get(owner) or getattr(node, owner), name
+        )
+        carried_out = set()
+        for other, check in CHECKS:
+            if (other, check) != (owner, name):
+                monkeypatch.setattr(
+                    owners.get(other) or getattr(node, other),
+                    check,
+                    lambda *_, key=(other, check): carried_out.add(key),
+                )
+        await harness.settle(3)
+        assert faults.count >= 10
+        assert carried_out == set(CHECKS) - {(owner, name)}
+        assert (await environment.request(2)).status == 200
+        answer()
+        assert (await request).status == 200
+
+    run_node(scenario)
+
+
+def test_failing_reload_does_not_end_a_node(run_node, monkeypatch):
+    """OverflowError and RecursionError of a settings file ended it."""
+
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+        faults = FailingCalls(
+            monkeypatch, environment.node._adapter, "reload_settings"
+        )
+        for _ in range(3):
+            send_signal(signal.SIGHUP)
+            await harness.settle(0.01)
+        assert faults.count == 3
+        answer()
+        assert (await request).status == 200
+        faults.is_failing = False
+        environment.reloaded = environment.settings._replace(service="other")
+        send_signal(signal.SIGHUP)
+        await harness.settle(0.1)
+        assert environment.node._outbound_proxy.service == "other"
+
+    assert b'"task":"signals"' in run_node(scenario)
+
+
+def test_failing_log_line_does_not_prevent_a_planned_stop(
+    run_node, monkeypatch
+):
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+        FailingCalls(
+            monkeypatch,
+            environment.node._decisions,
+            "write",
+            lambda event, *_: event == "stop_requested",
+        )
+        send_signal(signal.SIGTERM)
+        await harness.settle(0.5)
+        assert not await environment.is_ready()
+        answer()
+        assert (await request).status == 200
+        async with asyncio.timeout(6):
+            await environment.task
+
+    run_node(scenario)
+
+
+def test_failures_are_counted_by_task_and_error(run_node, monkeypatch):
+    async def scenario(environment):
+        await prepare(environment)
+        patch_registration(monkeypatch, environment)
+        await harness.settle(5)
+        answer = await test_node.call(
+            environment.settings.metrics, b"GET /metrics HTTP/1.1\r\n\r\n"
+        )
+        (line,) = [
+            line
+            for line in answer.body.decode().splitlines()
+            if "task_failures_total{" in line
+        ]
+        assert 'task="registration"' in line
+        assert 'error="UnexpectedError"' in line
+
+    run_node(scenario)
+
+
+def test_node_that_never_had_a_configuration_is_not_ready(
+    run_node, monkeypatch
+):
+    """Its callers would all get 503."""
+
+    async def scenario(environment):
+        environment.node._outbound_proxy._table = None
+        patch_decoder(monkeypatch, environment)
+        await harness.settle(8)
+        assert not await environment.is_ready()
+        assert (await environment.request(1)).status == 503
+
+    run_node(scenario)
