Answer the requests in flight when a step of a stop fails

Node.run now catches it, logs and counts it (task "stop"), and carries out what the drain has left, each step by itself: new requests are taken as planned, the requests in flight are waited for, connections and links are closed, and the process ends at the planned time. Steps that were carried out before change nothing the second time.

The tests fail each step of the stop, always or once, with a request in flight that is answered 3.3 s after the signal.

--- a/src/clementinekeel/runtime/supervision.py
+++ b/src/clementinekeel/runtime/supervision.py
@@ -94,7 +94,7 @@
                 await function()
                 return
             except Exception as error:
-                self._report(task, error)
+                self.report(task, error)
             if anyio.current_time() - started_at >= RESET_AFTER_S:
                 delay_s = MIN_RESTART_DELAY_S
             await anyio.sleep(delay_s * self._random.uniform(0.5, 1))
@@ -105,11 +105,12 @@
         try:
             step()
         except Exception as error:
-            self._report(task, error)
+            self.report(task, error)
             return False
         return True
 
-    def _report(self, task: str, error: Exception) -> None:
+    def report(self, task: str, error: Exception) -> None:
+        """Log and count an unexpected error that the caller has caught."""
         try:
             self._on_failure(describe(task, error))
         except Exception:
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -148,6 +148,8 @@
             self._decisions,
         )
         self._is_stopping = False
+        # Planned at the start, where a fault of the settings is harmless.
+        self._stop_plan = stop_plan.plan_stop(settings.stop_timeout_ms / 1000)
         self._stop_requested = asyncio.Event()
         backend = settings.backend
         self._backend_address = f"{backend.host}:{backend.port}"
@@ -213,7 +215,7 @@
             keep_running("checks", self._run_checks)
             keep_running("settings", self._watch_settings)
             await self._stop_requested.wait()
-            await self._drain(servers)
+            await self._stop(servers)
             tasks.cancel_scope.cancel()
         self._decisions.write("node_stopped", False)
         self._decisions.flush()
@@ -489,6 +491,49 @@
         changed = loaded.value_or(None)
         return str(loaded.failure()) if changed is None else changed
 
+    async def _stop(self, servers: list[asyncio.Server]) -> None:
+        """Carry out a planned stop, also if one of its steps fails."""
+        started_at = self._loop.time()
+        try:
+            await self._drain(servers)
+        except Exception as error:
+            self._supervisor.report("stop", error)
+            await self._finish_stop(servers, started_at)
+
+    async def _finish_stop(
+        self, servers: list[asyncio.Server], started_at: float
+    ) -> None:
+        """Carry out what a failed drain has left, each step by itself.
+
+        Steps that have been carried out change nothing the second time.
+        """
+        plan = self._stop_plan
+        attempt = functools.partial(self._supervisor.attempt, "stop")
+        self._is_stopping = True
+        if not self._outbound_proxy.is_stopping:
+            attempt(lambda: self._outbound_proxy.begin_stop(plan))
+        self._loop.call_at(
+            started_at + plan.backend_drain_s, self._inbound_proxy.stop
+        )
+        await asyncio.sleep(
+            started_at + plan.caller_drain_s - self._loop.time()
+        )
+        while self._loop.time() - started_at < plan.end_s:
+            for connection in list(self._connections):
+                attempt(connection.close_idle)
+            try:
+                if self._is_idle():
+                    break
+            except Exception as error:
+                self._supervisor.report("stop", error)
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+        for server in servers:
+            attempt(server.close)
+        attempt(self._outbound_proxy.end_all)
+        attempt(self._inbound_proxy.end_all)
+        attempt(self._peers.close)
+        await asyncio.sleep(FLUSH_S)
+
     async def _drain(self, servers: list[asyncio.Server]) -> None:
         """Answer accepted requests, and end shortly before the kill."""
         plan = stop_plan.plan_stop(self._settings.stop_timeout_ms / 1000)
--- a/tests/sidecar/test_node_errors.py
+++ b/tests/sidecar/test_node_errors.py
@@ -23,9 +23,14 @@
 
 
 class FailingCalls:
-    """Makes a method of an object fail while ``is_failing``."""
+    """Makes a method of an object fail while ``is_failing``.
 
-    def __init__(self, monkeypatch, owner, name, applies=lambda *a: True):
+    It fails at most ``limit`` times, if there is a limit.
+    """
+
+    def __init__(
+        self, monkeypatch, owner, name, applies=lambda *a: True, limit=None
+    ):
         self.is_failing = True
         self.count = 0
         original = getattr(owner, name)
@@ -33,6 +38,7 @@
         def call(*arguments, **options):
             if self.is_failing and applies(*arguments):
                 self.count += 1
+                self.is_failing = self.count != limit
                 raise UnexpectedError(name)
             return original(*arguments, **options)
 
@@ -345,3 +351,67 @@
         assert (await environment.request(1)).status == 503
 
     run_node(scenario)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name"),
+    [
+        ("_outbound_proxy", "begin_stop"),
+        ("_inbound_proxy", "stop"),
+        ("_outbound_proxy", "refuse_new_requests"),
+        ("_node", "_is_idle"),
+        ("_outbound_proxy", "end_all"),
+        ("_inbound_proxy", "end_all"),
+        ("_peers", "close"),
+        ("_connection", "close_idle"),
+    ],
+)
+@pytest.mark.parametrize("limit", [None, 1], ids=["always", "once"])
+def test_failing_step_of_a_planned_stop_cuts_no_request(
+    run_node, monkeypatch, owner, name, limit
+):
+    """The process ended at once, with the requests in flight on it."""
+
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+        node = environment.node
+        owners = {
+            "_node": node,
+            "_connection": test_node.node.http1.ServerConnection,
+        }
+        faults = FailingCalls(
+            monkeypatch,
+            owners.get(owner) or getattr(node, owner),
+            name,
+            limit=limit,
+        )
+        send_signal(signal.SIGTERM)
+        await harness.settle(0.3)
+        assert not await environment.is_ready()
+        assert (await environment.request(2)).status == 200
+        await harness.settle(3)
+        assert not environment.task.done()
+        answer()
+        assert (await request).status == 200
+        async with asyncio.timeout(2.5):
+            await environment.task
+        assert faults.count
+
+    lines = run_node(scenario)
+    assert b'"event":"node_stopped"' in lines
+
+
+def test_stop_with_a_failing_step_ends_in_time(run_node, monkeypatch):
+    """A process that is still there at the end of the grace is killed."""
+
+    async def scenario(environment):
+        await prepare(environment)
+        request, _ = await begin_request(environment)
+        FailingCalls(monkeypatch, environment.node, "_is_idle")
+        send_signal(signal.SIGTERM)
+        async with asyncio.timeout(5.5):
+            await environment.task
+        assert (await request).status == 502
+
+    run_node(scenario)
