Refuse offers that may outlast the stop of the node

Cause: for the first 1.4 s of its stop, the node beside the endpoint took each request of other nodes, whatever its deadline. One of 4 s that came after 1.3 s was broken off at 5.2 s. The grace of the node that answers the caller does not cover that.

Change: a stopping node takes an offer of another node only if it is sure to be answered before the end. It refuses any other, also those that wait for a slot at the signal, with the reason "stopping" as not run. A retry that is refused so has not arrived at a backend server and is used for the next endpoint; after silence, at the next check instead of after another timeout. Retry-After is the shortest time after which the process can be back. No frame has changed: a node of an older build takes the refusal like any other.

Requests that the stopping node takes from its own callers are still served by its own endpoint: they end with the stop wherever they run.

Cost: a round trip for long requests until the sender knows of the stop, and slots that idle up to 1.4 s sooner. Without another usable endpoint the caller gets 503 and the request has not run.

Test: test_planned_stop_breaks_off_no_request_of_another_node answered 502 where it expects 503 for requests sent 0.5 and 1.3 s after the signal (4 of 6 cases failed before, all pass). The two tests of refused retries fail when has_unused_retry is not set.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -28,6 +28,9 @@
 several of them."""
 NOT_RECEIVED = "not_received"
 """Reason of a refusal of an offer that was lost with its link."""
+STOPPING = "stopping"
+"""Reason of a refusal of an offer that may outlast a planned stop of the node,
+and of a failure of one that did."""
 
 
 class FrameError(errors.StepError):
--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -24,7 +24,8 @@
 no slot, but each one costs the caller a round trip."""
 MAX_OFFERS_WITH_RETRIES = 10
 """Maximum number of offers of a request, including those after which it may
-have arrived at a backend server; the retry budget bounds the retries."""
+have arrived at a backend server and those that stopping nodes refuse; the
+retry budget bounds the retries."""
 MAX_PENDING = 2
 """Endpoints that work on a request at the same time."""
 MIN_REMAINING_S = 0.02
@@ -63,7 +64,10 @@
         """Offer a request to the best endpoint that has not been tried."""
         route = exchange.route
         limit = min(
-            MAX_OFFERS + exchange.backend_arrivals, MAX_OFFERS_WITH_RETRIES
+            MAX_OFFERS
+            + exchange.backend_arrivals
+            + exchange.stopping_refusals,
+            MAX_OFFERS_WITH_RETRIES,
         )
         if route is None or exchange.offers >= limit:
             self._give_up(exchange, exchange.last_reason or "overload")
@@ -81,12 +85,11 @@
         if not exchange.offers and not self._chain.may_begin(exchange):
             self._give_up(exchange, "retry_budget")
             return
-        if exchange.backend_arrivals and not self._chain.try_consume_retry(
-            exchange, route
-        ):
+        is_paid = exchange.backend_arrivals > 0
+        if is_paid and not self._try_consume_retry(exchange, route):
             self._give_up(exchange, exchange.last_reason)
             return
-        self._send(exchange, route, peer)
+        self._send(exchange, route, peer, is_paid)
 
     def cancel(self, exchange: exchange_module.Exchange) -> None:
         """Cancel a request at the endpoints to which it is offered."""
@@ -121,6 +124,13 @@
             exchange.backend_arrivals += 1
             # The backend server may accept the request a moment later.
             exchange.tried_nodes = set(exchange.failed_nodes)
+        if refusal.reason == frames.STOPPING:
+            offer.peer.on_stopping(self._loop.time())
+            exchange.stopping_refusals += 1
+            exchange.has_unused_retry |= offer.has_used_budget
+            if offer.has_used_budget:
+                # The retry is made elsewhere at the next check.
+                exchange.attempt_timeout_at = self._loop.time()
         shortest_ms = exchange.retry_after_ms
         hint_ms = refusal.retry_after_ms
         exchange.retry_after_ms = (
@@ -175,6 +185,7 @@
         exchange: exchange_module.Exchange,
         route: table.Route,
         peer: peer_module.Peer,
+        has_used_budget: bool,
     ) -> None:
         """Offer a request to the endpoint of a node."""
         now = self._loop.time()
@@ -188,7 +199,9 @@
             exchange.attempt_timeout_at = now + wait_ms / 1000
         self._last_stream += 1
         stream = self._last_stream
-        exchange.pending[stream] = pending_offer.PendingOffer(peer, now)
+        exchange.pending[stream] = pending_offer.PendingOffer(
+            peer, now, has_used_budget
+        )
         body = exchange.body
         offer = frames.Offer(
             stream,
@@ -225,9 +238,7 @@
             other.estimated_load, other.usable_slots
         ):
             return
-        if not self._chain.try_consume_retry(
-            exchange, route, uncounted_runs=1
-        ):
+        if not self._try_consume_retry(exchange, route, uncounted_runs=1):
             return
         _, silent = pending[-1]
         silent.peer.on_result(False, self._loop.time())
@@ -238,7 +249,19 @@
             del exchange.pending[stream]
             oldest.peer.cancel(stream)
         exchange.last_reason = "silent"
-        self._send(exchange, route, other)
+        self._send(exchange, route, other, has_used_budget=True)
+
+    def _try_consume_retry(
+        self,
+        exchange: exchange_module.Exchange,
+        route: table.Route,
+        uncounted_runs: int = 0,
+    ) -> bool:
+        """Use a retry that is still unused, or one of the service's budget."""
+        if exchange.has_unused_retry:
+            exchange.has_unused_retry = False
+            return True
+        return self._chain.try_consume_retry(exchange, route, uncounted_runs)
 
     def _record_failure(
         self,
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -40,6 +40,10 @@
     backend_arrivals : int
         Offers after which the request arrived, or may have arrived, at a
         backend server.
+    stopping_refusals : int
+        Offers that stopping nodes have refused.
+    has_unused_retry : bool
+        Whether a retry that was paid for has not reached a backend server.
     possible_runs : int
         Offers after which the request may have run.
     retry_after_ms : int
@@ -80,6 +84,8 @@
         self.failed_nodes: set[str] = set()
         self.attempt_timeout_at = float("inf")
         self.backend_arrivals = 0
+        self.stopping_refusals = 0
+        self.has_unused_retry = False
         self.possible_runs = 0
         self.retry_after_ms = 0
         self.last_reason = ""
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -25,6 +25,7 @@
 from clementinekeel.sidecar import job as job_module
 from clementinekeel.sidecar import metrics as metrics_module
 from clementinekeel.sidecar import settings as settings_module
+from clementinekeel.sidecar import stop_plan
 
 DEADLINE_GRACE_S = 0.12
 """Time after the deadline in which the backend server's own answer may still
@@ -141,6 +142,8 @@
         self._jobs_by_request_id: dict[str, job_module.Job] = {}
         self._last_number = 0
         self._is_stopping = False
+        self._stop_plan: stop_plan.StopPlan | None = None
+        self._stop_began_at = 0.0
         self._down_until = 0.0
         self._quick_failures = 0
         self._warm_up_until = 0.0
@@ -272,6 +275,17 @@
         if statement.is_leaving:
             self._stop_for_leaving()
 
+    def begin_stop(self, plan: stop_plan.StopPlan) -> None:
+        """Begin a planned stop now.
+
+        Waiting requests of other nodes that may outlast it are refused.
+        """
+        self._stop_plan = plan
+        self._stop_began_at = self._loop.time()
+        for job in list(self._jobs.values()):
+            if not self._may_take(job) and self._queue.cancel(job.number):
+                self._refuse(job, frames.STOPPING)
+
     def stop(self) -> None:
         """Accept no new requests and refuse those that wait for a slot."""
         before = self.status
@@ -284,15 +298,26 @@
         for job in list(self._jobs.values()):
             self._fail(job, "stopping")
 
-    def offer(self, sender: job_module.Sender, offer: frames.Offer) -> None:
-        """Accept an offered request, or the first part of one."""
+    def offer(
+        self,
+        sender: job_module.Sender,
+        offer: frames.Offer,
+        is_own: bool = False,
+    ) -> None:
+        """Accept an offered request, or the first part of one.
+
+        Parameters
+        ----------
+        is_own : bool
+            Whether this node took the request from its caller.
+        """
         now = self._loop.time()
         excess_ms = max(
             sender.transit.excess_ms(offer.sent_ms, now),
             self._pauses.lateness_s * 1000,
         )
         expires_at = now + (offer.remaining_ms - excess_ms) / 1000
-        job = job_module.Job(sender, offer, expires_at, now)
+        job = job_module.Job(sender, offer, expires_at, now, is_own)
         sender.streams[offer.stream] = job
         sender.last_stream = max(sender.last_stream, offer.stream)
         if job.missing_bytes <= 0:
@@ -351,6 +376,19 @@
             return False
         return self._loop.time() >= self._down_until
 
+    def _may_take(self, job: job_module.Job) -> bool:
+        """Tell whether a planned stop leaves enough time for a request.
+
+        A request that this node took from its caller ends with the stop
+        wherever it runs, so that another endpoint would be no better.
+        """
+        plan = self._stop_plan
+        if plan is None or job.is_own:
+            return True
+        now = self._loop.time()
+        lasts_s = job.expires_at + DEADLINE_GRACE_S - now
+        return plan.may_take_offer(now - self._stop_began_at, lasts_s)
+
     def _report_status_change(self, before: frames.EndpointStatus) -> None:
         after = self.status
         if _lasting_part(before) != _lasting_part(after):
@@ -371,6 +409,8 @@
             self._refuse(job, "leaving")
         elif heartbeat.endpoint != job.offer.endpoint:
             self._refuse(job, "other_endpoint")
+        elif not self._may_take(job):
+            self._refuse(job, frames.STOPPING)
         elif self._crash_reports.refusal_s(job.offer.fingerprint):
             self._refuse(job, frames.QUARANTINED)
         else:
@@ -698,6 +738,11 @@
         if reason == frames.QUARANTINED:
             refusal_s = self._crash_reports.refusal_s(job.offer.fingerprint)
             retry_after_ms = refusal_s * 1000
+        elif reason == frames.STOPPING and self._stop_plan is not None:
+            # The load says nothing about the time until the node is back.
+            since_stop_s = self._loop.time() - self._stop_began_at
+            end_in_s = self._stop_plan.earliest_end_in_s(since_stop_s)
+            retry_after_ms = end_in_s * 1000
         job.sender.send_result(
             frames.Refusal(
                 job.offer.stream,
--- a/src/clementinekeel/sidecar/job.py
+++ b/src/clementinekeel/sidecar/job.py
@@ -33,6 +33,8 @@
         Where the answer, the refusal or the failure is sent.
     expires_at : float
         When the caller stops waiting, in seconds of the runtime's clock.
+    is_own : bool
+        Whether this node took the request from its caller.
     missing_bytes : int
         Bytes of the body that have not arrived.
     number : int
@@ -54,11 +56,13 @@
         offer: frames.Offer,
         expires_at: float,
         arrived_at: float,
+        is_own: bool = False,
     ) -> None:
         self.sender = sender
         self.offer = offer
         self.expires_at = expires_at
         self.arrived_at = arrived_at
+        self.is_own = is_own
         self.body_parts = [offer.body]
         self.missing_bytes = offer.body_bytes - len(offer.body)
         self.number = 0
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -540,6 +540,7 @@
         started_at = self._loop.time()
         self._is_stopping = True
         self._outbound_proxy.begin_stop(plan)
+        self._inbound_proxy.begin_stop(plan)
         self._loop.call_later(plan.backend_drain_s, self._inbound_proxy.stop)
         await asyncio.sleep(plan.caller_drain_s)
         while self._loop.time() - started_at < plan.end_s:
--- a/src/clementinekeel/sidecar/peer.py
+++ b/src/clementinekeel/sidecar/peer.py
@@ -44,7 +44,7 @@
 
     def offer(self, offer: frames.Offer) -> None:
         """Offer a request to the inbound proxy of this node."""
-        self._inbound_proxy.offer(self, offer)
+        self._inbound_proxy.offer(self, offer, is_own=True)
 
     def offer_part(self, part: frames.OfferPart) -> None:
         """Pass on a further part of a body."""
@@ -216,3 +216,7 @@
         self.failures += 1
         if self.failures >= SUSPECT_FAILURES:
             self.suspect_until = now + SUSPECT_S
+
+    def on_stopping(self, now: float) -> None:
+        """Record that the node is stopping: other endpoints are preferred."""
+        self.suspect_until = now + SUSPECT_S
--- a/src/clementinekeel/sidecar/pending_offer.py
+++ b/src/clementinekeel/sidecar/pending_offer.py
@@ -13,6 +13,8 @@
         Node to which the request is offered.
     offered_at : float
         When the offer was made, in seconds of the runtime's clock.
+    has_used_budget : bool
+        Whether the offer was paid for from a retry budget.
     has_changed_link : bool
         Whether the link of the offer has been replaced.
     is_overdue : bool
@@ -24,9 +26,15 @@
         Bytes of the answer's body that have not arrived.
     """
 
-    def __init__(self, peer: peer_module.Peer, offered_at: float) -> None:
+    def __init__(
+        self,
+        peer: peer_module.Peer,
+        offered_at: float,
+        has_used_budget: bool = False,
+    ) -> None:
         self.peer = peer
         self.offered_at = offered_at
+        self.has_used_budget = has_used_budget
         self.has_changed_link = False
         self.is_overdue = False
         self.answer: frames.Answer | None = None
--- a/src/clementinekeel/sidecar/stop_plan.py
+++ b/src/clementinekeel/sidecar/stop_plan.py
@@ -25,7 +25,8 @@
     Attributes
     ----------
     backend_drain_s : float
-        Until when other nodes may send requests to the backend server.
+        Until when other nodes may send requests to the backend server, if
+        these are sure to be answered before the end.
     caller_drain_s : float
         Until when all new requests of callers are taken.
     end_s : float
@@ -54,6 +55,29 @@
             return True
         return since_stop_s + lasts_s <= self.end_s
 
+    def may_take_offer(self, since_stop_s: float, lasts_s: float) -> bool:
+        """Tell whether a request of another node is taken.
+
+        Load pattern: nodes are stopped in turn, so that the other node goes
+        on, its caller waits longer than the stop, and other endpoints are
+        usable. A request that is refused has not run and goes to one of them.
+
+        Parameters
+        ----------
+        since_stop_s : float
+            Time since the signal.
+        lasts_s : float
+            Time after which the request has been answered in any case.
+        """
+        return (
+            since_stop_s < self.backend_drain_s
+            and since_stop_s + lasts_s <= self.end_s
+        )
+
+    def earliest_end_in_s(self, since_stop_s: float) -> float:
+        """Return the shortest time until the process can end."""
+        return max(0.0, self.caller_drain_s - since_stop_s)
+
 
 def plan_stop(grace_s: float) -> StopPlan:
     """Plan a stop.
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -7,12 +7,16 @@
 from clementinekeel.membership import heartbeats
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import transit
+from clementinekeel.sidecar import stop_plan
 from tests import memory_loop
 from tests.sidecar import harness
 
 DRAINING = heartbeats.EndpointState.DRAINING
 
 
+PLAN = stop_plan.plan_stop(6.0)
+
+
 class Sender:
     """Collects the frames that are sent back to the offering node."""
 
@@ -462,3 +466,75 @@
         asyncio.get_running_loop().create_task(work)
 
     run_with_proxy(scenario, answer_without_end)
+
+
+@pytest.mark.parametrize(
+    ("remaining_ms", "is_own", "is_taken"),
+    [
+        pytest.param(3_700, False, True, id="ends in time"),
+        pytest.param(3_900, False, False, id="may outlast the stop"),
+        pytest.param(3_900, True, True, id="of a caller of this node"),
+    ],
+)
+def test_offer_that_may_outlast_a_planned_stop_is_refused(
+    remaining_ms, is_own, is_taken
+):
+    """It was broken off at the end of the stop, after it had run for 4 s."""
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        proxy.begin_stop(PLAN)
+        await harness.settle(1.3)
+        proxy.offer(sender, offer(1, remaining_ms=remaining_ms), is_own)
+        await harness.settle()
+        assert bool(server.requests) is is_taken
+        if not is_taken:
+            (refusal,) = sender.frames
+            assert refusal.reason == frames.STOPPING
+            # Before this time the process can't be back.
+            assert refusal.retry_after_ms == 1_300
+
+    run_with_proxy(scenario)
+
+
+def test_waiting_offers_that_may_outlast_a_planned_stop_are_refused():
+    """They had not run when the stop began, and were started during it."""
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        for stream in (1, 2):
+            proxy.offer(sender, offer(stream, remaining_ms=2_000))
+        proxy.offer(sender, offer(3, remaining_ms=2_000))
+        proxy.offer(sender, offer(4, remaining_ms=6_000))
+        await harness.settle()
+        proxy.begin_stop(PLAN)
+        await harness.settle()
+        refused = {f.stream: f.reason for f in sender.frames}
+        assert refused == {4: frames.STOPPING}
+        server.connections[0].answer(b"r1")
+        server.connections[1].answer(b"r2")
+        await harness.settle()
+        assert [h[b"id"] for _, h, _ in server.requests] == [
+            b"r1",
+            b"r2",
+            b"r3",
+        ]
+
+    run_with_proxy(scenario, never_answer)
+
+
+def test_body_that_arrives_during_a_planned_stop_is_late_for_it():
+    """Whether a request fits is decided when it can start."""
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        proxy.offer(
+            sender, offer(1, remaining_ms=6_000, body=b"a", body_bytes=2)
+        )
+        proxy.begin_stop(PLAN)
+        proxy.offer_part(sender, frames.OfferPart(1, b"b"))
+        await harness.settle()
+        assert [f.reason for f in sender.frames] == [frames.STOPPING]
+        assert server.requests == []
+
+    run_with_proxy(scenario)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -318,6 +318,40 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
+@pytest.mark.parametrize("sent_s", [0.5, 1.3, 1.5])
+def test_planned_stop_breaks_off_no_request_of_another_node(
+    run_node, sent_s, path
+):
+    """For the first 1.4 s each request was taken. One of 4 s was broken off
+    at the end, and answered 502 by a node that was not stopping.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        loop = asyncio.get_running_loop()
+        environment.behave = lambda c, h, i: loop.call_later(4.5, c.answer, i)
+        sender = harness.Member("n2")
+        routes = [
+            route._replace(timeout_ms=5_000)
+            for route in (harness.ROUTE, harness.NON_IDEMPOTENT_ROUTE)
+        ]
+        sender.outbound_proxy.activate(harness.routing_table(2, routes))
+        sender.peers.add_or_update("n1", "n1", 5, "z1", "r1", True)
+        await harness.settle(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(sent_s)
+        connection, _ = harness.send(sender, path)
+        await harness.settle(6)
+        ((status, _, _),) = connection.answers
+        # There is no other endpoint: the caller is told that it has not run.
+        assert (status, environment.server.requests) == (503, [])
+        await environment.task
+
+    run_node(scenario)
+
+
 def test_settings_that_change_without_a_signal_are_reloaded(run_node):
     async def scenario(environment):
         await environment.heartbeat()
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -1,6 +1,7 @@
 """The outbound proxy: answers to callers, with several nodes in memory."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -534,3 +535,138 @@
     for start in range(0, len(data), 3):
         received += reader.feed(data[start : start + 3])
     assert received == sent
+
+
+LONG_ROUTE = harness.ROUTE._replace(timeout_ms=6_000, max_attempts=3)
+
+
+async def begin_stops(members):
+    """Begin planned stops at members whose endpoints are usable."""
+    for member in members:
+        node = member.settings.node
+        member.inbound_proxy.on_heartbeat(harness.heartbeat(node))
+        member.inbound_proxy.begin_stop(stop_plan.plan_stop(6.0))
+    await harness.settle()
+
+
+@pytest.mark.parametrize("stopping", [1, 6])
+def test_request_that_stopping_nodes_refuse_goes_to_another_one(stopping):
+    """After four refusals it was given up, with an endpoint left."""
+
+    async def scenario(members, servers):
+        sender, *others, last = members
+        sender.outbound_proxy.activate(harness.routing_table(2, (LONG_ROUTE,)))
+        await begin_stops(others)
+        last.inbound_proxy.on_heartbeat(
+            harness.heartbeat(last.settings.node, warm_up_left_ms=60_000)
+        )
+        await harness.settle()
+        # The endpoint that goes on is the last choice.
+        for peer in sender.peers.known:
+            peer.reported_load = 50 if peer.node == last.settings.node else 0
+        connection, exchange = harness.send(sender)
+        await harness.settle()
+        assert [status for status, _, _ in connection.answers] == [200]
+        assert exchange.backend_arrivals == 0
+        assert exchange.tried_nodes >= {last.settings.node}
+
+    run_members(scenario, stopping + 2)
+
+
+def test_stopping_node_that_refused_is_not_preferred_for_long():
+    """Each request would cost a round trip to it."""
+
+    async def scenario(members, servers):
+        sender, near, far = members
+        sender.outbound_proxy.activate(harness.routing_table(2, (LONG_ROUTE,)))
+        await begin_stops([near])
+        far.inbound_proxy.on_heartbeat(harness.heartbeat("n3"))
+        await harness.settle()
+        sender.peers._random = random.Random(1)
+        for peer in sender.peers.known:
+            peer.transit_ms = 50.0 if peer.node == "n3" else 0.0
+        for _ in range(5):
+            harness.send(sender)
+            await harness.settle()
+        ended = [f for e, f in sender.log.events if e == "request_ended"]
+        assert [fields["status"] for fields in ended] == [200] * 5
+        assert [fields["offers"] for fields in ended] == [2, 1, 1, 1, 1]
+
+    run_members(scenario, 3)
+
+
+def grant_one_retry(member):
+    """Let the budget have one retry; return a list of those asked for."""
+    asked = []
+
+    def try_consume(exchange, _route, _uncounted_runs=0):
+        asked.append(exchange.request_id)
+        return len(asked) == 1
+
+    member.chain.try_consume_retry = try_consume
+    return asked
+
+
+def test_retry_that_a_stopping_node_refuses_uses_the_budget_once():
+    """The refused retry has not arrived at a backend server, and was paid
+    for again at the next endpoint.
+    """
+
+    async def scenario(members, servers):
+        sender, failing, stopping, last = members
+        sender.outbound_proxy.activate(harness.routing_table(2, (LONG_ROUTE,)))
+        await begin_stops([stopping])
+        for member in (failing, last):
+            member.inbound_proxy.on_heartbeat(
+                harness.heartbeat(member.settings.node)
+            )
+        servers[1].behave = lambda c, h, i: c.transport.abort()
+        await harness.settle()
+        loads = {"n2": 0, "n3": 1, "n4": 50}
+        for peer in sender.peers.known:
+            peer.reported_load = loads.get(peer.node, 0)
+        sender.peers._random = random.Random(1)
+        paid = grant_one_retry(sender)
+        connection, exchange = harness.send(sender)
+        await harness.settle(0.2)
+        assert [status for status, _, _ in connection.answers] == [200]
+        assert exchange.tried_nodes == {"n2", "n3", "n4"}
+        assert len(paid) == 1
+        assert exchange.backend_arrivals == 1
+
+    run_members(scenario, 4)
+
+
+def test_retry_after_silence_that_is_refused_is_made_elsewhere():
+    """The silent endpoint was waited for until the deadline, although the
+    retry was paid for.
+    """
+
+    async def scenario(members, servers):
+        sender, silent, stopping, last = members
+        sender.outbound_proxy.activate(
+            harness.routing_table(2, (LONG_ROUTE._replace(max_attempts=2),))
+        )
+        await begin_stops([stopping])
+        for member in (silent, last):
+            member.inbound_proxy.on_heartbeat(
+                harness.heartbeat(member.settings.node, slots=50)
+            )
+        stopping.inbound_proxy.on_heartbeat(
+            harness.heartbeat("n3", 2, slots=50)
+        )
+        servers[1].behave = lambda c, h, i: None
+        await harness.settle()
+        transit_ms = {"n2": 0.0, "n3": 10.0, "n4": 20.0}
+        for peer in sender.peers.known:
+            peer.transit_ms = transit_ms.get(peer.node, 0.0)
+        sender.peers._random = random.Random(1)
+        grant_one_retry(sender)
+        connection, exchange = harness.send(sender)
+        for _ in range(40):
+            await harness.settle()
+            sender.outbound_proxy.tick()
+        assert [status for status, _, _ in connection.answers] == [200]
+        assert exchange.tried_nodes == {"n2", "n3", "n4"}
+
+    run_members(scenario, 4)
--- a/tests/sidecar/test_stop_plan.py
+++ b/tests/sidecar/test_stop_plan.py
@@ -39,3 +39,28 @@
     """Nearly all are answered long before, and callers can't go elsewhere."""
     plan = stop_plan.plan_stop(6.0)
     assert plan.may_take(plan.caller_drain_s - 0.01, 5.0)
+
+
+@GRACE_TIMES
+@pytest.mark.parametrize("lasts_s", [0.2, 1.5, 4.0, 8.2])
+def test_request_of_another_node_is_taken_only_if_it_ends_in_time(
+    grace_s, lasts_s
+):
+    """Any was taken early in a stop; its caller is told that it has not run,
+    or it goes to another endpoint.
+    """
+    plan = stop_plan.plan_stop(grace_s)
+    for step in range(round(grace_s * 20)):
+        since_stop_s = step * 0.05
+        if plan.may_take_offer(since_stop_s, lasts_s):
+            assert since_stop_s + lasts_s <= plan.end_s
+            assert since_stop_s < plan.backend_drain_s
+    assert plan.may_take_offer(0.0, plan.end_s)
+
+
+@GRACE_TIMES
+def test_callers_are_taken_no_longer_than_their_end_is_excused(grace_s):
+    """Operators allow a request to be broken off in the last sixth if it was
+    sent within 3 s of the signal.
+    """
+    assert stop_plan.plan_stop(grace_s).caller_drain_s <= 3.0
