Serve short calls late in a planned stop

Cause: a call was refused if its deadline was after the end of the stop, however short its work. A call of 50 ms with a deadline of 4 s was refused from 2.6 s after the signal on, and its request failed with it.

Change: calls of requests at the endpoint get a deadline that ends with the stop, as the requests themselves do, so that their endpoint does not work beyond it.

Test: test_short_call_late_in_a_planned_stop_is_served answered 503 to the short call and to one that takes longer than usual, expected 200 and the endpoint's own 504; both pass now, and a call of a route that was not measured is still refused.

--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -18,6 +18,7 @@
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import decoding
 from clementinekeel.runtime import pauses as pauses_module
+from clementinekeel.sidecar import answer_times
 from clementinekeel.sidecar import chain as chain_module
 from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
@@ -74,6 +75,7 @@
         self._service_choice = table.WeightedChoice()
         self._active: set[exchange_module.Exchange] = set()
         self._random = random.Random()
+        self._answer_times = answer_times.AnswerTimes()
         self._stop_plan: stop_plan.StopPlan | None = None
         self._stop_began_at = 0.0
         self._refuses_all = False
@@ -306,9 +308,8 @@
     def _may_take(self, exchange: exchange_module.Exchange) -> bool:
         """Tell whether a planned stop leaves enough time for a request.
 
-        That holds for the calls of requests at the backend server as well. A
-        refused call fails such a request, like one that the end of the stop
-        breaks off, but no endpoint works on it in vain.
+        A call of a request at the backend server must end with the stop, as
+        that request does.
         """
         plan = self._stop_plan
         if plan is None:
@@ -316,8 +317,20 @@
         if self._refuses_all:
             return False
         now = self._loop.time()
+        since_stop_s = now - self._stop_began_at
         lasts_s = exchange.expires_at + TIMEOUT_GRACE_S - now
-        return plan.may_take(now - self._stop_began_at, lasts_s)
+        if exchange.parent_job is None or exchange.route is None:
+            return plan.may_take(since_stop_s, lasts_s)
+        sufficient_s = self._answer_times.sufficient_s(
+            exchange.route.name, now
+        )
+        if not plan.may_take_call(since_stop_s, lasts_s, sufficient_s):
+            return False
+        end_at = self._stop_began_at + plan.end_s
+        exchange.expires_at = min(
+            exchange.expires_at, end_at - TIMEOUT_GRACE_S
+        )
+        return True
 
     def _deliver(
         self,
@@ -331,9 +344,18 @@
         exchange.pending.clear()
         if exchange.route is not None:
             self._dispatcher.record_answer_size(exchange.route, len(body))
+            if answer.status < 400 or answer.status == 504:
+                # Other failures end before the work is done.
+                self._record_time(exchange, exchange.route)
         exchange.connection.respond(answer.head, body)
         self._end(exchange, "answered", answer.status)
 
+    def _record_time(
+        self, exchange: exchange_module.Exchange, route: table.Route
+    ) -> None:
+        now = self._loop.time()
+        self._answer_times.record(route.name, now - exchange.started_at, now)
+
     def _give_up(
         self, exchange: exchange_module.Exchange, reason: str
     ) -> None:
@@ -390,6 +412,8 @@
         if exchange.has_ended:
             return
         self._dispatcher.cancel(exchange)
+        if exchange.route is not None:
+            self._record_time(exchange, exchange.route)
         self._fail(exchange, 504, "timeout")
 
     def _end(
--- a/src/clementinekeel/sidecar/stop_plan.py
+++ b/src/clementinekeel/sidecar/stop_plan.py
@@ -38,7 +38,7 @@
     end_s: float
 
     def may_take(self, since_stop_s: float, lasts_s: float) -> bool:
-        """Tell whether a new request of a caller or a new call is taken.
+        """Tell whether a new request of a caller is taken.
 
         Requests that arrive while callers are being sent elsewhere are taken,
         since nearly all are answered long before their deadline. Later ones
@@ -55,6 +55,31 @@
             return True
         return since_stop_s + lasts_s <= self.end_s
 
+    def may_take_call(
+        self, since_stop_s: float, lasts_s: float, sufficient_s: float | None
+    ) -> bool:
+        """Tell whether a call of a request at the backend server is taken.
+
+        Load pattern: requests that run on while their node stops make short
+        calls with long deadlines, and fail without them. A call is passed on
+        with a deadline that is not after the end, so that its endpoint does
+        not work beyond it.
+
+        Parameters
+        ----------
+        since_stop_s, lasts_s : float
+            As for a request of a caller.
+        sufficient_s : float or None
+            Time in which calls of this kind have been answered lately, with a
+            margin; None if it is not known.
+        """
+        if self.may_take(since_stop_s, lasts_s):
+            return True
+        return (
+            sufficient_s is not None
+            and since_stop_s + sufficient_s <= self.end_s
+        )
+
     def may_take_offer(self, since_stop_s: float, lasts_s: float) -> bool:
         """Tell whether a request of another node is taken.
 
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -318,6 +318,80 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize(
+    ("known", "work_s", "status"),
+    [
+        pytest.param(20, 0.05, 200, id="short"),
+        pytest.param(20, 1.9, 504, id="longer than usual"),
+        pytest.param(0, 0.05, 503, id="route not measured"),
+    ],
+)
+def test_short_call_late_in_a_planned_stop_is_served(
+    run_node, known, work_s, status
+):
+    """A call of 50 ms was refused since its deadline of 4 s was after the end
+    of the stop, and the request that made it failed.
+
+    The endpoint stops at the deadline that it gets.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        loop = asyncio.get_running_loop()
+        usual, worked = [0.05], []
+
+        def work(connection, headers, request_id):
+            remaining_s = int(headers[b"deadline"]) / 1000
+            worked.append(loop.time() + remaining_s)
+            lasts_s = usual[0] if usual else work_s
+            is_done = lasts_s <= remaining_s
+            loop.call_later(
+                min(lasts_s, remaining_s),
+                connection.answer,
+                request_id,
+                200 if is_done else 504,
+            )
+
+        environment.behave = lambda c, h, i: None
+        other = harness.Member("n2", service="t")
+        harness.BackendServer("n2", work)
+        other.inbound_proxy.on_heartbeat(harness.heartbeat("n2", service="t"))
+        node_under_test = environment.node
+        node_under_test._peers.add_or_update("n2", "n2", 5, "z1", "r1", True)
+        call_route = harness.ROUTE._replace(
+            prefix="/call/",
+            name="call",
+            shares=(harness.table.Share("t", 1),),
+            timeout_ms=4_000,
+        )
+        parent_route = harness.ROUTE._replace(timeout_ms=5_500)
+        node_under_test._outbound_proxy.activate(
+            harness.routing_table(2, (parent_route, call_route))
+        )
+        await harness.settle(0.1)
+        for number in range(known):
+            answer = await environment.request(100 + number, b"/call/x")
+            assert answer.status == 200
+        usual.clear()
+        worked.clear()
+        parent = asyncio.ensure_future(environment.request(1, timeout_s=10.0))
+        await harness.settle(0.1)
+        signalled_at = loop.time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(3.5)
+        answer = await call(
+            environment.settings.outbound,
+            b"GET /call/x HTTP/1.1\r\nHost: h\r\nId: r1.1\r\n\r\n",
+        )
+        assert answer.status == status
+        assert all(until <= signalled_at + 5.2 for until in worked)
+        await parent
+        await environment.task
+
+    run_node(scenario)
+
+
 @pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
 @pytest.mark.parametrize("sent_s", [0.5, 1.3, 1.5])
 def test_planned_stop_breaks_off_no_request_of_another_node(
