Send the last answers before a planned stop ends

Cause: the node counted as idle once a request was answered, although the answer could still be in the buffer of a link or connection. The process ended 0.05 s later and dropped it.

Change: links and connections with unsent bytes keep the node from being idle, until the end of the plan. After that the last answers have up to 0.32 s of the 0.8 s before the kill (the same share of a shorter grace); the process goes on to its end as soon as nothing waits.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -126,6 +126,13 @@
         """Bytes read so far of the current request body."""
         return self._body_bytes
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def respond(self, head: bytes, body: bytes, keep: bool = True) -> None:
         """Send an answer.
 
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -94,6 +94,13 @@
         """Whether offers or a ping wait for a sign of the peer."""
         return self._liveness.is_probing or self.is_waiting()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     @property
     def _peer_name(self) -> str:
         return self.peer.node if self.peer else ""
@@ -219,9 +226,7 @@
 
     def _note_progress(self, now: float) -> None:
         """Notice that data which had to wait has been sent."""
-        if self._transport is None:
-            return
-        waiting_bytes = self._transport.get_write_buffer_size()
+        waiting_bytes = self.unsent_bytes
         if waiting_bytes < self._waiting_bytes:
             self._liveness.on_progress(now)
         self._waiting_bytes = waiting_bytes
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -60,8 +60,8 @@
 """Reading and comparing the file takes half a millisecond."""
 STOP_POLL_INTERVAL_S = 0.05
 """Interval of the check whether all requests are answered."""
-FLUSH_S = 0.05
-"""Time for the last answers to be sent before the process ends."""
+FLUSH_POLL_INTERVAL_S = 0.02
+"""Interval of the check whether the last answers are sent."""
 
 _LoadedSettings = result.Result[
     settings_module.SidecarSettings, errors.StepError
@@ -557,7 +557,21 @@
         self._outbound_proxy.end_all()
         self._inbound_proxy.end_all()
         self._peers.close()
-        await asyncio.sleep(FLUSH_S)
+        flushed_by = self._loop.time() + plan.flush_s
+        while self._loop.time() < flushed_by:
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
+            if not self._has_unsent_bytes():
+                break
 
     def _is_idle(self) -> bool:
-        return self._inbound_proxy.is_idle and self._outbound_proxy.is_idle
+        """Whether all requests are answered, and the answers are sent."""
+        return (
+            self._inbound_proxy.is_idle
+            and self._outbound_proxy.is_idle
+            and not self._has_unsent_bytes()
+        )
+
+    def _has_unsent_bytes(self) -> bool:
+        return self._peers.has_unsent_bytes or any(
+            connection.unsent_bytes for connection in self._connections
+        )
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -84,6 +84,11 @@
         """Links that other nodes opened."""
         return len(self._inbound_links)
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether frames wait to be sent on any link."""
+        return any(link.unsent_bytes for link in self._open_links())
+
     def attach(
         self, inbound_proxy: inbound.InboundProxy, outbound_proxy: Any
     ) -> None:
@@ -219,11 +224,7 @@
 
     def close(self) -> None:
         """Close all links after their pending frames are sent."""
-        for peer in self._peers.values():
-            for link in (peer.dialed_link, peer.replacement):
-                if link is not None:
-                    link.close()
-        for link in self._inbound_links:
+        for link in self._open_links():
             link.close()
 
     def _tier(self, zone: str, region: str) -> placement.Tier:
@@ -375,6 +376,14 @@
             is_listed=False,
         )
 
+    def _open_links(self) -> Iterator[link_module.Link]:
+        """Yield all links that have not ended."""
+        for peer in self._peers.values():
+            for link in (peer.dialed_link, peer.replacement):
+                if link is not None:
+                    yield link
+        yield from self._inbound_links
+
     def _links(self) -> Iterator[link_module.Link]:
         """Yield the dialed links whose peer has sent its hello."""
         for peer in self._peers.values():
--- a/src/clementinekeel/sidecar/stop_plan.py
+++ b/src/clementinekeel/sidecar/stop_plan.py
@@ -8,6 +8,9 @@
 KILL_MARGIN_SHARE = 0.15
 """Largest share of the grace time for that margin. The operators allow
 requests to be broken off in the last sixth."""
+FLUSH_SHARE = 0.4
+"""Part of that margin in which the last answers may still be sent; the rest is
+for the end of the process."""
 MAX_CALLER_DRAIN_S = 2.6
 """Time in which callers still send new requests: the platform checks the
 readiness once a second and stops sending callers to a node after two negative
@@ -31,11 +34,14 @@
         Until when all new requests of callers are taken.
     end_s : float
         When the last requests are answered and the process ends.
+    flush_s : float
+        Longest time after that in which the last answers are still sent.
     """
 
     backend_drain_s: float
     caller_drain_s: float
     end_s: float
+    flush_s: float
 
     def may_take(self, since_stop_s: float, lasts_s: float) -> bool:
         """Tell whether a new request of a caller is taken.
@@ -112,8 +118,12 @@
     grace_s : float
         Time between the signal and the kill.
     """
-    end_s = grace_s - min(MAX_KILL_MARGIN_S, KILL_MARGIN_SHARE * grace_s)
+    margin_s = min(MAX_KILL_MARGIN_S, KILL_MARGIN_SHARE * grace_s)
+    end_s = grace_s - margin_s
     caller_drain_s = min(MAX_CALLER_DRAIN_S, CALLER_DRAIN_SHARE * end_s)
     return StopPlan(
-        BACKEND_DRAIN_SHARE * caller_drain_s, caller_drain_s, end_s
+        BACKEND_DRAIN_SHARE * caller_drain_s,
+        caller_drain_s,
+        end_s,
+        FLUSH_SHARE * margin_s,
     )
--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -56,7 +56,8 @@
 class MemoryTransport(asyncio.Transport):
     """One side of a connection; ``peer`` is the other side.
 
-    A silent side sends nothing more, not even the end of the connection.
+    A silent side sends nothing more, not even the end of the connection. One
+    that is stalled keeps what is written, and the end, until it goes on.
     """
 
     def __init__(self, loop, protocol, local, remote):
@@ -71,10 +72,25 @@
         self.remote = remote
         self.is_closed = False
         self.is_silent = False
+        self.is_stalled = False
+        self.is_ending = False
+        self.unsent = []
         self.written = b""
 
     def is_closing(self):
-        return self.is_closed
+        return self.is_closed or self.is_ending
+
+    def stall(self):
+        """Send nothing more until ``go_on``, as to a slow reader."""
+        self.is_stalled = True
+
+    def go_on(self):
+        self.is_stalled = False
+        unsent, self.unsent = self.unsent, []
+        for data in unsent:
+            self.loop.after_delay(self.peer.deliver, data)
+        if self.is_ending:
+            self._close(None, None)
 
     def silence(self):
         """Lose all packets from now on; probes of the kernel notice it."""
@@ -85,11 +101,13 @@
             self.loop.call_later(limit_s, self.close_by_peer, error)
 
     def get_write_buffer_size(self):
-        return 0
+        return sum(map(len, self.unsent))
 
     def write(self, data):
         self.written += data
-        if not self.is_closed and not self.is_silent:
+        if self.is_stalled:
+            self.unsent.append(bytes(data))
+        elif not self.is_closed and not self.is_silent:
             self.loop.after_delay(self.peer.deliver, bytes(data))
 
     def deliver(self, data):
@@ -97,7 +115,10 @@
             self.protocol.data_received(data)
 
     def close(self):
-        self._close(None, None)
+        if self.unsent:
+            self.is_ending = True
+        else:
+            self._close(None, None)
 
     def abort(self):
         self._close(None, ConnectionResetError("reset"))
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -426,6 +426,56 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("where", ["link", "caller"])
+@pytest.mark.parametrize("read_s", [4.0, 5.4, 20.0])
+def test_planned_stop_waits_until_its_answers_are_sent(
+    run_node, where, read_s
+):
+    """The process ended when the last request was answered, and dropped what
+    slow links and callers had not taken of the answers.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        sender = harness.Member("n2")
+        sender.peers.add_or_update("n1", "n1", 5, "z1", "r1", True)
+        await harness.settle(0.1)
+        loop = asyncio.get_running_loop()
+        known = len(loop.transports)
+        waiting = []
+        environment.behave = lambda c, h, i: waiting.append((c, i))
+        request = None
+        if where == "link":
+            harness.send(sender, b"/b/x")
+            address = environment.settings.peers
+        else:
+            request = asyncio.ensure_future(
+                environment.request(1, timeout_s=60.0)
+            )
+            address = environment.settings.outbound
+        await harness.settle(0.01)
+        (transport,) = (
+            t
+            for t in loop.transports[0 if where == "link" else known :]
+            if t.local == tuple(address) and not t.is_closing()
+        )
+        transport.stall()
+        signalled_at = loop.time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        connection, request_id = waiting[0]
+        connection.answer(request_id)
+        loop.call_later(read_s, transport.go_on)
+        await environment.task
+        lasted_s = loop.time() - signalled_at
+        # The operators kill the process after 6 s.
+        assert min(read_s, 5.5) <= lasted_s <= min(read_s + 0.1, 5.6)
+        if request is not None:
+            assert (await request).body == b"fine"
+
+    run_node(scenario)
+
+
 def test_settings_that_change_without_a_signal_are_reloaded(run_node):
     async def scenario(environment):
         await environment.heartbeat()
