Answer pipelined requests before a stopping node closes

Callers that send requests without waiting for answers got a closed connection for those behind the one in progress when the node stopped, although the node had read them.

Cause: a stopping node closed each connection after the next answer and dropped the requests that waited on it.

Change: the connection is closed after the last of them. Each is taken or refused like any other request of a planned stop.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -151,7 +151,9 @@
         self._current = None
         if transport is None or transport.is_closing():
             return
-        keep = keep and self._keep_alive and not self._server.is_stopping
+        # A stopping node still answers what the caller has pipelined.
+        is_last = self._server.is_stopping and not self._pipelined
+        keep = keep and self._keep_alive and not is_last
         connection = b"" if keep else b"Connection: close\r\n"
         transport.write(
             b"%sContent-Length: %d\r\n%s\r\n" % (head, len(body), connection)
--- a/tests/callers/test_http1.py
+++ b/tests/callers/test_http1.py
@@ -222,6 +222,24 @@
     run_caller(scenario)
 
 
+def test_stopping_node_answers_pipelined_requests():
+    """Those behind the one in progress had been read, and their connection
+    was closed without an answer to them.
+    """
+
+    async def scenario(transport, caller, server, _):
+        server.is_stopping = True
+        transport.write(GET * 2 + GET.replace(b"/a/x", b"/a/y"))
+        await harness.settle(1)
+        assert len(server.requests) == 3
+        assert caller.received.count(b"HTTP/1.1 200") == 3
+        assert caller.received.count(b"Connection: close") == 1
+        assert caller.received.endswith(b"/a/y")
+        assert caller.is_closed
+
+    run_caller(scenario, FakeServer(delay_s=0.1))
+
+
 class UnreadTransport(asyncio.Transport):
     """A transport to a caller that reads nothing, so that it stays open."""
 
