Carry out each step of a planned stop by itself

Cause: the stop had two procedures, one for normal operation and one for what a failed step had left. They had to be kept alike, and the second one knew nothing of the answers that the first one waits to be sent.

Change: one procedure, in which the supervisor carries out each step. Its attempt returns the result of the step, None if the step fails, and its test asks for both.

--- a/src/clementinekeel/runtime/supervision.py
+++ b/src/clementinekeel/runtime/supervision.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable
 import random
 import types
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import anyio
 
@@ -27,6 +27,9 @@
 """Characters of a trace in a log line."""
 
 
+T = TypeVar("T")
+
+
 class Failure(NamedTuple):
     """Unexpected error of a task.
 
@@ -100,14 +103,13 @@
             await anyio.sleep(delay_s * self._random.uniform(0.5, 1))
             delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
 
-    def attempt(self, task: str, step: Callable[[], object]) -> bool:
-        """Carry out one step of a task; return whether it succeeded."""
+    def attempt(self, task: str, step: Callable[[], T]) -> T | None:
+        """Return the result of one step of a task; None if it fails."""
         try:
-            step()
+            return step()
         except Exception as error:
             self.report(task, error)
-            return False
-        return True
+            return None
 
     def report(self, task: str, error: Exception) -> None:
         """Log and count an unexpected error that the caller has caught."""
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -492,77 +492,42 @@
         return str(loaded.failure()) if changed is None else changed
 
     async def _stop(self, servers: list[asyncio.Server]) -> None:
-        """Carry out a planned stop, also if one of its steps fails."""
-        started_at = self._loop.time()
-        try:
-            await self._drain(servers)
-        except Exception as error:
-            self._supervisor.report("stop", error)
-            await self._finish_stop(servers, started_at)
-
-    async def _finish_stop(
-        self, servers: list[asyncio.Server], started_at: float
-    ) -> None:
-        """Carry out what a failed drain has left, each step by itself.
+        """Answer accepted requests, and end shortly before the kill.
 
-        Steps that have been carried out change nothing the second time.
+        Each step is carried out by itself, so that one that fails cuts no
+        request in flight.
         """
         plan = self._stop_plan
         attempt = functools.partial(self._supervisor.attempt, "stop")
+        started_at = self._loop.time()
         self._is_stopping = True
-        if not self._outbound_proxy.is_stopping:
-            attempt(lambda: self._outbound_proxy.begin_stop(plan))
-        self._loop.call_at(
-            started_at + plan.backend_drain_s, self._inbound_proxy.stop
-        )
-        await asyncio.sleep(
-            started_at + plan.caller_drain_s - self._loop.time()
-        )
+        attempt(functools.partial(self._outbound_proxy.begin_stop, plan))
+        attempt(functools.partial(self._inbound_proxy.begin_stop, plan))
+        self._loop.call_later(plan.backend_drain_s, self._inbound_proxy.stop)
+        await asyncio.sleep(plan.caller_drain_s)
         while self._loop.time() - started_at < plan.end_s:
             for connection in list(self._connections):
                 attempt(connection.close_idle)
-            try:
-                if self._is_idle():
-                    break
-            except Exception as error:
-                self._supervisor.report("stop", error)
+            attempt(self._refuse_calls_if_none_can_come)
+            if attempt(self._is_idle):
+                break
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
         for server in servers:
             attempt(server.close)
         attempt(self._outbound_proxy.end_all)
         attempt(self._inbound_proxy.end_all)
         attempt(self._peers.close)
-        await asyncio.sleep(FLUSH_S)
-
-    async def _drain(self, servers: list[asyncio.Server]) -> None:
-        """Answer accepted requests, and end shortly before the kill."""
-        plan = stop_plan.plan_stop(self._settings.stop_timeout_ms / 1000)
-        started_at = self._loop.time()
-        self._is_stopping = True
-        self._outbound_proxy.begin_stop(plan)
-        self._inbound_proxy.begin_stop(plan)
-        self._loop.call_later(plan.backend_drain_s, self._inbound_proxy.stop)
-        await asyncio.sleep(plan.caller_drain_s)
-        while self._loop.time() - started_at < plan.end_s:
-            for connection in list(self._connections):
-                connection.close_idle()
-            if self._inbound_proxy.is_idle:
-                # No request at the backend server can make calls any more.
-                self._outbound_proxy.refuse_new_requests()
-            if self._is_idle():
-                break
-            await asyncio.sleep(STOP_POLL_INTERVAL_S)
-        for server in servers:
-            server.close()
-        self._outbound_proxy.end_all()
-        self._inbound_proxy.end_all()
-        self._peers.close()
         flushed_by = self._loop.time() + plan.flush_s
         while self._loop.time() < flushed_by:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
-            if not self._has_unsent_bytes():
+            if not attempt(self._has_unsent_bytes):
                 break
 
+    def _refuse_calls_if_none_can_come(self) -> None:
+        """Refuse all requests once none at the backend server makes calls."""
+        if self._inbound_proxy.is_idle:
+            self._outbound_proxy.refuse_new_requests()
+
     def _is_idle(self) -> bool:
         """Whether all requests are answered, and the answers are sent."""
         return (
--- a/tests/runtime/test_supervision.py
+++ b/tests/runtime/test_supervision.py
@@ -150,8 +150,8 @@
 async def test_failing_step_is_reported_and_the_next_ones_run():
     failures, done = [], []
     supervisor = supervision.Supervisor(failures.append)
-    assert not supervisor.attempt("t", lambda: 1 / 0)
-    assert supervisor.attempt("t", lambda: done.append(1))
+    assert supervisor.attempt("t", lambda: 1 / 0) is None
+    assert supervisor.attempt("t", lambda: done.append(1) or 7) == 7
     assert [failure.error for failure in failures] == ["ZeroDivisionError"]
     assert done == [1]
 
