Serve callers under a low limit on descriptors

Operators saw: with `max_fds` of 500 or less a node refuses every connection, also those of the readiness checks, and is never ready.

Cause: 500 descriptors are reserved, so that the limit for connections of callers was zero or negative.

Change: the reserve is at most half of all descriptors. A limit of 1,000 or more is divided as before.

Measured: test_low_limit_on_descriptors_leaves_callers_a_part with 100, 400 and 501 descriptors fails on the code before (connections are closed without an answer); after, all pass.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -48,7 +48,8 @@
 """Connections that may wait to be accepted; a full backlog delays a caller by
 seconds."""
 RESERVED_DESCRIPTORS = 500
-"""Descriptors reserved for links, the backend server, the store and files."""
+"""Descriptors reserved for links, the backend server, the store and files; at
+most half of all, so that callers are served under a low limit too."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
 ADDRESS_WAIT_S = 3.0
@@ -165,6 +166,12 @@
         """Whether callers may be sent to this node."""
         return not self._is_stopping and self._outbound_proxy.version > 0
 
+    @property
+    def _max_connections(self) -> int:
+        """Connections of callers that may be open."""
+        total = self._settings.max_descriptors
+        return total - min(RESERVED_DESCRIPTORS, total // 2)
+
     async def run(self) -> None:
         """Serve until a signal to stop, then answer the requests in flight."""
         settings = self._settings
@@ -330,8 +337,7 @@
 
     def _on_open(self, connection: http1.ServerConnection) -> None:
         self._connections.add(connection)
-        limit = self._settings.max_descriptors - RESERVED_DESCRIPTORS
-        if len(self._connections) > limit:
+        if len(self._connections) > self._max_connections:
             self._decisions.write(
                 "connection_refused", False, open=len(self._connections)
             )
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -546,6 +546,27 @@
     assert b'"event":"internal_error"' not in log
 
 
+@pytest.mark.parametrize("max_descriptors", [100, 400, 501])
+def test_low_limit_on_descriptors_leaves_callers_a_part(
+    run_node, monkeypatch, max_descriptors
+):
+    """All connections were refused, also those of the readiness checks."""
+    monkeypatch.setattr(
+        harness,
+        "SETTINGS",
+        harness.SETTINGS._replace(max_descriptors=max_descriptors),
+    )
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        assert await environment.is_ready()
+        answers = await asyncio.gather(*map(environment.request, range(6)))
+        assert [answer.status for answer in answers] == [200] * 6
+
+    assert b'"event":"connection_refused"' not in run_node(scenario)
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
 def test_second_signal_does_not_end_a_planned_stop(run_node, number):
     """Without a handler it ends the process with requests in flight."""
