Wait for an earlier process's addresses for its grace time

Operators saw: a node that was started while an earlier process on the VM was in its planned stop ended after 3 s with exit code 1 and the traceback of an exception group. A SIGTERM during the wait was noticed only once all addresses were there.

Cause: the wait for an address was 3 s, whatever grace time the settings give to the earlier process, and only EADDRINUSE was waited for.

Change: sidecar/listening.py waits for the grace time and 3 s more, also while the address is not configured yet and while descriptors or buffers run out. It logs what it waits for and for how long, and ends with exit code 0 as soon as a signal to stop arrives.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -15,6 +15,7 @@
 from clementinekeel.platform import store
 from clementinekeel.runtime import errors
 from clementinekeel.sidecar import adapter as adapter_module
+from clementinekeel.sidecar import listening
 from clementinekeel.sidecar import node
 from clementinekeel.sidecar import settings as sidecar_settings
 
@@ -34,7 +35,8 @@
     Returns
     -------
     int
-        Exit code: 0 after a planned stop, 1 if the settings are faulty.
+        Exit code: 0 after a planned stop, 1 if the settings are faulty or an
+        address cannot be listened on.
     """
     path = settings_module.settings_path()
     loaded = _load_settings(path)
@@ -43,7 +45,11 @@
         print(loaded.failure(), file=sys.stderr)
         return EXIT_FAULTY
     uvloop.install()
-    anyio.run(_run, settings, path)
+    try:
+        anyio.run(_run, settings, path)
+    except listening.ListenError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAULTY
     return 0
 
 
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
-import errno
 import functools
 import itertools
 import math
@@ -28,6 +27,7 @@
 from clementinekeel.sidecar import control
 from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import inbound
+from clementinekeel.sidecar import listening
 from clementinekeel.sidecar import metrics
 from clementinekeel.sidecar import outbound
 from clementinekeel.sidecar import peers as peers_module
@@ -44,18 +44,14 @@
 STALE_PAUSE_S = 1.0
 """Pause after which connections to the store are opened anew: they may have
 ended meanwhile, and a change may have been missed."""
-BACKLOG = 1024
-"""Connections that may wait to be accepted; a full backlog delays a caller by
-seconds."""
 RESERVED_DESCRIPTORS = 500
 """Descriptors reserved for links, the backend server, the store and files; at
 most half of all, so that callers are served under a low limit too."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
-ADDRESS_WAIT_S = 3.0
-"""Time for which a listener waits for an address that is in use; an earlier
-process on the VM may still be ending."""
-ADDRESS_RETRY_S = 0.1
+ADDRESS_WAIT_MARGIN_S = 3.0
+"""Time for which a start waits for an address beyond the grace time of an
+earlier process on the VM; its kill may be late."""
 METRICS_PATH = b"/metrics"
 SETTINGS_POLL_INTERVAL_S = 2.0
 """Reading and comparing the file takes half a millisecond."""
@@ -152,6 +148,9 @@
         # Planned at the start, where a fault of the settings is harmless.
         self._stop_plan = stop_plan.plan_stop(settings.stop_timeout_ms / 1000)
         self._stop_requested = asyncio.Event()
+        self._listeners = listening.Listeners(
+            self._decisions, self._stop_requested
+        )
         backend = settings.backend
         self._backend_address = f"{backend.host}:{backend.port}"
         self._backend_verifier = backend_verification.BackendVerifier(
@@ -173,7 +172,26 @@
         return total - min(RESERVED_DESCRIPTORS, total // 2)
 
     async def run(self) -> None:
-        """Serve until a signal to stop, then answer the requests in flight."""
+        """Serve until a signal to stop, then answer the requests in flight.
+
+        Raises
+        ------
+        ListenError
+            If an address cannot be listened on.
+        """
+        failure: BaseException | None = None
+        try:
+            await self._serve()
+        except* listening.StopRequestedError:
+            self._decisions.write("node_stopped", False)
+        except* listening.ListenError as group:
+            failure = group.exceptions[0]
+            self._decisions.write("start_failed", False, reason=str(failure))
+        self._decisions.flush()
+        if failure is not None:
+            raise failure
+
+    async def _serve(self) -> None:
         settings = self._settings
         server = control.ControlServer(
             self._adapter,
@@ -225,7 +243,6 @@
             await self._stop(servers)
             tasks.cancel_scope.cancel()
         self._decisions.write("node_stopped", False)
-        self._decisions.flush()
 
     def _on_unhandled_exception(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
@@ -282,35 +299,13 @@
         self,
         address: settings_module.Address,
         make_protocol: Callable[[], asyncio.Protocol],
-        wait_s: float = ADDRESS_WAIT_S,
+        wait_s: float | None = None,
     ) -> asyncio.Server:
-        """Listen on an address; wait for it while it is in use.
-
-        Raises
-        ------
-        OSError
-            If the address can't be used, or not within ``wait_s`` seconds.
-        """
-        give_up_at = self._loop.time() + wait_s
-        is_logged = False
-        while True:
-            try:
-                return await self._loop.create_server(
-                    make_protocol, address.host, address.port, backlog=BACKLOG
-                )
-            except OSError as error:
-                is_in_use = error.errno == errno.EADDRINUSE
-                if not is_in_use or self._loop.time() >= give_up_at:
-                    raise
-            if not is_logged:
-                is_logged = True
-                self._decisions.write(
-                    "address_in_use",
-                    False,
-                    host=address.host,
-                    port=address.port,
-                )
-            await asyncio.sleep(ADDRESS_RETRY_S)
+        """Listen on an address; wait while an earlier process may have it."""
+        if wait_s is None:
+            grace_s = self._settings.stop_timeout_ms / 1000
+            wait_s = grace_s + ADDRESS_WAIT_MARGIN_S
+        return await self._listeners.open(address, make_protocol, wait_s)
 
     async def _serve_metrics(self) -> None:
         """Serve the metrics; a node serves its callers without them too."""
@@ -324,7 +319,9 @@
             listener = await self._listen(
                 self._settings.metrics, accept, math.inf
             )
-        except OSError as error:
+        except listening.StopRequestedError:
+            return
+        except listening.ListenError as error:
             self._decisions.write("metrics_failed", False, reason=str(error))
             return
         try:
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -4,6 +4,7 @@
 
 from clementinekeel.platform import main
 from clementinekeel.platform import settings
+from clementinekeel.sidecar import listening
 from tests.platform import test_settings
 
 
@@ -17,8 +18,9 @@
     path = tmp_path / "settings.toml"
     monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
 
-    def run(text, later_text=None):
+    def run(text, later_text=None, run_node=None):
         started, waited = [], []
+        run_node = run_node or (lambda _, *rest: started.append(rest))
         path.write_text(text)
 
         def sleep(seconds):
@@ -28,9 +30,7 @@
 
         monkeypatch.setattr("time.sleep", sleep)
         monkeypatch.setattr(main.uvloop, "install", lambda: None)
-        monkeypatch.setattr(
-            main.anyio, "run", lambda _, *arguments: started.append(arguments)
-        )
+        monkeypatch.setattr(main.anyio, "run", run_node)
         return main.run(), started, sum(waited)
 
     return run
@@ -55,3 +55,16 @@
     assert (code, started) == (main.EXIT_FAULTY, [])
     assert waited_s == pytest.approx(2.0)
     assert "settings.toml" in capsys.readouterr().err
+
+
+def test_address_that_cannot_be_used_ends_a_start_with_a_message(
+    start, monkeypatch, capsys
+):
+    """Operators saw the traceback of a group of exceptions."""
+
+    def fail(*_):
+        raise listening.ListenError("listen", "10.0.0.1:1", "in use")
+
+    code, _, _ = start(test_settings.FILE, run_node=fail)
+    assert code == main.EXIT_FAULTY
+    assert capsys.readouterr().err == "listen (10.0.0.1:1): in use\n"
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -14,6 +14,7 @@
 from clementinekeel.platform import settings as platform_settings
 from clementinekeel.runtime import errors
 from clementinekeel.sidecar import adapter as adapter_module
+from clementinekeel.sidecar import listening
 from clementinekeel.sidecar import node
 from tests import memory_loop
 from tests.platform import test_settings
@@ -980,6 +981,95 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("name", ["outbound", "peers"])
+@pytest.mark.parametrize("held_s", [5.2, 8.5])
+@pytest.mark.parametrize(
+    "error",
+    [errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE],
+    ids=errno.errorcode.get,
+)
+def test_start_waits_for_the_planned_stop_of_an_earlier_process(
+    run_node, monkeypatch, name, held_s, error
+):
+    """A start gave up after 3 s; the earlier process may live for its grace
+    time of 6 s.
+    """
+
+    async def scenario(environment):
+        await restart_without_address(
+            environment, monkeypatch, name, error, held_s
+        )
+        await harness.settle(held_s + 0.5)
+        assert await environment.is_ready()
+
+    run_node(scenario)
+
+
+@pytest.mark.parametrize("name", ["outbound", "peers"])
+def test_signal_to_stop_ends_a_start_that_waits(run_node, monkeypatch, name):
+    """The signal was only noticed once the node listened everywhere."""
+
+    async def scenario(environment):
+        await restart_without_address(
+            environment, monkeypatch, name, errno.EADDRINUSE, 8
+        )
+        await harness.settle(1)
+        assert not environment.task.done()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(0.2)
+        assert environment.task.done()
+        assert environment.task.exception() is None
+
+    lines = run_node(scenario).splitlines()
+    assert b'"event":"node_stopped"' in lines[-1]
+    assert not any(b'"event":"start_failed"' in line for line in lines)
+
+
+@pytest.mark.parametrize(
+    ("error", "waited_s"),
+    [(errno.EADDRINUSE, 9.0), (errno.EACCES, 0.0)],
+    ids=["passing", "lasting"],
+)
+def test_start_that_fails_ends_with_one_error_and_one_line(
+    run_node, monkeypatch, error, waited_s
+):
+    """It ended with the traceback of a group of exceptions."""
+
+    async def scenario(environment):
+        await restart_without_address(
+            environment, monkeypatch, "outbound", error, 60
+        )
+        await harness.settle(waited_s - 0.5)
+        assert environment.task.done() is (waited_s == 0)
+        await harness.settle(1)
+        failure = environment.task.exception()
+        assert isinstance(failure, listening.ListenError)
+        assert failure.peer == "vm1:2"
+
+    log = run_node(scenario)
+    assert log.count(b'"event":"start_failed"') == 1
+
+
+async def restart_without_address(
+    environment, monkeypatch, name, error, held_s
+):
+    """Start a node again while it can't listen on one address."""
+    os.kill(os.getpid(), signal.SIGTERM)
+    await environment.task
+    address = getattr(environment.settings, name)
+    loop = asyncio.get_running_loop()
+    create_server, free_at = loop.create_server, loop.time() + held_s
+
+    async def create(factory, host, port, **options):
+        if (host, port) == address and loop.time() < free_at:
+            raise OSError(error, "refused")
+        return await create_server(factory, host, port, **options)
+
+    monkeypatch.setattr(loop, "create_server", create)
+    environment.node = node.Node(environment.settings, environment.adapter())
+    await environment.start()
+
+
 def test_metrics_are_served(run_node):
     async def scenario(environment):
         await environment.heartbeat()
