Log which planned stop broke off a request

The reason "stopping" with status 502 stood for the stop of the node that took a request and for that of the node beside its endpoint.

Change: request_ended names the nodes after whose offer the request may have run (failed_at) and those that were still waited for at its end (waiting_at). request_ended and job_ended give the arrival relative to the signal of the node's own stop (since_stop_ms, null without one). That the endpoint was at work is told by service_ms of job_ended, as before.

Test: test_log_tells_which_stop_broke_off_a_request; before, the fields were missing (KeyError).

--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -35,6 +35,8 @@
     tried_nodes : set of str
         Nodes to which the request is not offered again; reset to
         ``failed_nodes`` when a backend server refuses it.
+    waiting_at : list of str
+        Nodes whose result was still awaited when the request ended.
     attempt_timeout_at : float
         When an idempotent request is offered to another endpoint.
     backend_arrivals : int
@@ -80,6 +82,7 @@
         self.is_admitted = False
         self.offers = 0
         self.tried_nodes: set[str] = set()
+        self.waiting_at: list[str] = []
         # Nodes on which the request may have run without an answer.
         self.failed_nodes: set[str] = set()
         self.attempt_timeout_at = float("inf")
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -816,4 +816,9 @@
             running=self._queue.running,
             queued=self._queue.queued,
             slots=self._queue.slots,
+            since_stop_ms=(
+                None
+                if self._stop_plan is None
+                else round((job.arrived_at - self._stop_began_at) * 1000)
+            ),
         )
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -181,7 +181,7 @@
         """End a request whose caller has closed the connection."""
         if exchange.has_ended:
             return
-        self._dispatcher.cancel(exchange)
+        self._withdraw(exchange)
         self._end(exchange, "caller_left", 499)
 
     def on_answer(
@@ -237,7 +237,7 @@
     def end_all(self) -> None:
         """Answer the requests that outlast a planned stop; they may run."""
         for exchange in list(self._active):
-            self._dispatcher.cancel(exchange)
+            self._withdraw(exchange)
             self._fail(exchange, 502, "stopping")
 
     def tick(self) -> None:
@@ -350,6 +350,13 @@
         exchange.connection.respond(answer.head, body)
         self._end(exchange, "answered", answer.status)
 
+    def _withdraw(self, exchange: exchange_module.Exchange) -> None:
+        """Cancel the offers of a request that ends without their results."""
+        exchange.waiting_at = [
+            offer.peer.node for offer in exchange.pending.values()
+        ]
+        self._dispatcher.cancel(exchange)
+
     def _record_time(
         self, exchange: exchange_module.Exchange, route: table.Route
     ) -> None:
@@ -411,7 +418,7 @@
     def _time_out(self, exchange: exchange_module.Exchange) -> None:
         if exchange.has_ended:
             return
-        self._dispatcher.cancel(exchange)
+        self._withdraw(exchange)
         if exchange.route is not None:
             self._record_time(exchange, exchange.route)
         self._fail(exchange, 504, "timeout")
@@ -440,7 +447,14 @@
             "arrivals": exchange.backend_arrivals,
             "call_of_retry": exchange.is_call_of_retry,
             "tried": ",".join(exchange.tried_nodes),
+            "failed_at": ",".join(exchange.failed_nodes),
+            "waiting_at": ",".join(exchange.waiting_at),
             "ms": round(duration_ms),
             "version": self.version,
+            "since_stop_ms": (
+                None
+                if self._stop_plan is None
+                else round((exchange.started_at - self._stop_began_at) * 1000)
+            ),
         }
         self._decisions.write("request_ended", status < 400, **fields)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -427,6 +427,52 @@
     run_node(scenario)
 
 
+@pytest.mark.parametrize("who", ["own", "other"])
+def test_log_tells_which_stop_broke_off_a_request(run_node, who):
+    """The same reason stood for the stop of the node that took the request
+    and of the one beside its endpoint, whenever it was offered.
+    """
+    ended = []
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        environment.behave = lambda c, h, i: None
+        table = harness.routing_table(
+            2, (harness.ROUTE._replace(timeout_ms=30_000),)
+        )
+        sender = harness.Member("n2")
+        for proxy in (
+            sender.outbound_proxy,
+            environment.node._outbound_proxy,
+        ):
+            proxy.activate(table)
+        sender.peers.add_or_update("n1", "n1", 5, "z1", "r1", True)
+        await harness.settle(0.1)
+        if who == "own":
+            request = asyncio.ensure_future(environment.request(1, b"/a/x", 9))
+        else:
+            harness.send(sender, request_id=b"r1")
+        await harness.settle(0.5)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await environment.task
+        if who == "own":
+            assert (await request).status == 502
+        ended.extend(f for e, f in sender.log.events if e == "request_ended")
+
+    lines = [json.loads(line) for line in run_node(scenario).splitlines()]
+    (job,) = (line for line in lines if line["event"] == "job_ended")
+    if who == "own":
+        ended.extend(x for x in lines if x["event"] == "request_ended")
+    (request,) = ended
+    assert request["reason"] == "stopping"
+    assert request["waiting_at"] == ("n1" if who == "own" else "")
+    assert request["failed_at"] == ("" if who == "own" else "n1")
+    assert (request["since_stop_ms"] is not None) is (who == "own")
+    assert -600 < job["since_stop_ms"] < -400
+    assert job["service_ms"] > 5_000
+
+
 @pytest.mark.parametrize("where", ["link", "caller"])
 @pytest.mark.parametrize("read_s", [4.0, 5.4, 20.0])
 def test_planned_stop_waits_until_its_answers_are_sent(
