Take a pause off the time that is left only once

Cause: the node that reads a request after a pause takes the pause off its deadline. For its own endpoint it passed the request to itself at once, and took the pause off again there.

Change: only offers of other nodes, which may have waited to be read, are shortened.

Test: test_pause_is_taken_off_the_time_that_is_left_only_once failed in both cases with 200 ms left instead of 600.

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -312,10 +312,13 @@
             Whether this node took the request from its caller.
         """
         now = self._loop.time()
-        excess_ms = max(
-            sender.transit.excess_ms(offer.sent_ms, now),
-            self._pauses.lateness_s * 1000,
-        )
+        excess_ms = 0.0
+        if not is_own:
+            # Time that passed on the way, or before this node read the offer.
+            excess_ms = max(
+                sender.transit.excess_ms(offer.sent_ms, now),
+                self._pauses.lateness_s * 1000,
+            )
         expires_at = now + (offer.remaining_ms - excess_ms) / 1000
         job = job_module.Job(sender, offer, expires_at, now, is_own)
         sender.streams[offer.stream] = job
--- a/tests/sidecar/test_pauses.py
+++ b/tests/sidecar/test_pauses.py
@@ -59,6 +59,25 @@
     run_members(scenario)
 
 
+@pytest.mark.parametrize("path", [b"/a/x", b"/b/x"])
+def test_pause_is_taken_off_the_time_that_is_left_only_once(path):
+    """The node's own endpoint gave up a request with time left."""
+
+    async def main():
+        member = harness.Member("n1")
+        server = harness.BackendServer("n1")
+        member.inbound_proxy.on_heartbeat(harness.heartbeat("n1", slots=1))
+        member.outbound_proxy._pauses = FixedPauses(0.4)
+        member.inbound_proxy._pauses = FixedPauses(0.4)
+        await harness.settle()
+        harness.send(member, path)
+        await harness.settle()
+        ((_, headers, _),) = server.requests
+        assert 500 < int(headers[b"deadline"]) <= 600
+
+    memory_loop.run(main)
+
+
 def test_deadlines_do_not_wait_for_a_suspended_vm():
     """The steady clock stood still, and the callers' clocks did not."""
 
