Keep the log from blocking on a shared pipe

Operators would see: a node that stops answering, also the readiness check and SIGTERM, while nobody reads its log.

Cause: whether a pipe blocks is a property that all processes with the pipe share. The node made it non-blocking once, at its start. Another process that sets it to blocking again, as interpreters and shells do, made the next write of the log wait for the reader.

Change: the log makes its descriptor non-blocking before each write, at most ten times a second.

Measured: test_pipe_that_another_process_sets_to_blocking_does_not_block fails on the code before (the descriptor blocks at the write); after, it passes.

--- a/src/clementinekeel/runtime/decision_log.py
+++ b/src/clementinekeel/runtime/decision_log.py
@@ -37,8 +37,8 @@
     node : str
         Name of the node, added to each line.
     descriptor : int or None
-        File descriptor to write to, made non-blocking by ``run``; None for
-        standard output.
+        File descriptor to write to, made non-blocking; None for standard
+        output.
 
     Attributes
     ----------
@@ -108,6 +108,8 @@
         if not self._pending:
             return
         try:
+            # Other processes with the same pipe may set it to blocking again.
+            os.set_blocking(self._descriptor, False)
             written = os.write(self._descriptor, self._pending)
         except BlockingIOError:
             return
@@ -119,7 +121,6 @@
 
     async def run(self) -> None:
         """Flush at a fixed interval until cancelled."""
-        os.set_blocking(self._descriptor, False)
         try:
             while True:
                 await asyncio.sleep(FLUSH_INTERVAL_S)
--- a/tests/runtime/test_decision_log.py
+++ b/tests/runtime/test_decision_log.py
@@ -33,6 +33,32 @@
     os.close(writer)
 
 
+def test_pipe_that_another_process_sets_to_blocking_does_not_block(
+    monkeypatch,
+):
+    """All processes that have the pipe share this setting, and the node
+    stopped for as long as nobody read its log.
+    """
+    reader, writer = os.pipe()
+    write, written = os.write, []
+
+    def record(descriptor, content):
+        assert not os.get_blocking(descriptor)
+        written.append(write(descriptor, content))
+        return written[-1]
+
+    monkeypatch.setattr(decision_log.os, "write", record)
+    log = decision_log.DecisionLog("n1", writer)
+    for _ in range(5):
+        os.set_blocking(writer, True)
+        for _ in range(decision_log.MAX_LINES_PER_FLUSH):
+            log.write("job_ended", False, text="x" * 200)
+        log.flush()
+    assert 0 < sum(written) < len(log._pending)
+    os.close(reader)
+    os.close(writer)
+
+
 def test_successes_are_left_out_before_failures():
     reader, writer = os.pipe()
     log = decision_log.DecisionLog("n1", writer)
