Print the message of a failed start without waiting for a reader

Operators saw: a start with faulty settings whose standard error is a full pipe never ended, so that it was not started again. With standard error on a full device or a closed pipe, the exit code was 120 and not the 1 that OPERATIONS.md lists.

Cause: the message was printed with a blocking write, and what could not be written was tried again by the interpreter at its end, which turns a failure of this into exit code 120.

Change: the message is printed if standard error takes it at once, cut to what a pipe takes without blocking, and a failed stream is replaced.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -1,7 +1,6 @@
 """Runs a forwarding node on the users' platform."""
 
 import gc
-import sys
 import time
 
 import anyio
@@ -14,6 +13,7 @@
 from clementinekeel.platform import settings as settings_module
 from clementinekeel.platform import store
 from clementinekeel.runtime import errors
+from clementinekeel.runtime import standard_streams
 from clementinekeel.sidecar import adapter as adapter_module
 from clementinekeel.sidecar import listening
 from clementinekeel.sidecar import node
@@ -42,13 +42,13 @@
     loaded = _load_settings(path)
     settings = loaded.value_or(None)
     if settings is None:
-        print(loaded.failure(), file=sys.stderr)
+        standard_streams.print_error(str(loaded.failure()))
         return EXIT_FAULTY
     uvloop.install()
     try:
         anyio.run(_run, settings, path)
     except listening.ListenError as error:
-        print(error, file=sys.stderr)
+        standard_streams.print_error(str(error))
         return EXIT_FAULTY
     return 0
 
--- a/src/clementinekeel/runtime/standard_streams.py
+++ b/src/clementinekeel/runtime/standard_streams.py
@@ -1,8 +1,13 @@
 """Standard streams that are usable however the process was started."""
 
+import io
 import os
+import select
 import sys
 
+MAX_MESSAGE_BYTES = 4_000
+"""A pipe that takes a byte takes 4,096 without blocking."""
+_STDERR = 2
 _MODES = {"stdin": "r", "stdout": "w", "stderr": "w"}
 
 
@@ -25,9 +30,32 @@
             setattr(sys, name, stream)
 
 
+def print_error(message: str) -> None:
+    """Print a message on standard error if it can take it at once.
+
+    A process that has to end must not wait for a reader, and a message that
+    cannot be printed leaves nothing to be printed at the end, which would
+    change the exit code.
+    """
+    if not _is_writable(_STDERR):
+        return
+    encoded = message.encode(errors="backslashreplace")[:MAX_MESSAGE_BYTES]
+    try:
+        print(encoded.decode(errors="ignore"), file=sys.stderr, flush=True)
+    except OSError:
+        # No other place is left for the message or for this error.
+        sys.stderr = io.StringIO()
+
+
 def _is_open(descriptor: int) -> bool:
     try:
         os.fstat(descriptor)
     except OSError:
         return False
     return True
+
+
+def _is_writable(descriptor: int) -> bool:
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return any(events & select.POLLOUT for _, events in poll.poll(0))
