Refuse offers whose body is late for a planned stop

Callers got 502 "link_lost" for an upload that had not run: the node beside the endpoint counted as idle while the body of an offer was still arriving on a link, and ended. What is not idempotent can't be sent again after that.

Cause: a planned stop refused requests that wait for a slot, but knew nothing of offers without their whole body.

Change: they are refused as not run as well: at the signal if they may outlast the stop, the others when offers of other nodes end. An offer that arrives during the stop is decided on with its first part, so that its sender need not send the rest in vain.

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -140,6 +140,8 @@
         )
         self._jobs: dict[int, job_module.Job] = {}
         self._jobs_by_request_id: dict[str, job_module.Job] = {}
+        # Offers whose bodies have not arrived yet.
+        self._incomplete_jobs: set[job_module.Job] = set()
         self._last_number = 0
         self._is_stopping = False
         self._stop_plan: stop_plan.StopPlan | None = None
@@ -278,19 +280,25 @@
     def begin_stop(self, plan: stop_plan.StopPlan) -> None:
         """Begin a planned stop now.
 
-        Waiting requests of other nodes that may outlast it are refused.
+        Requests of other nodes that may outlast it are refused if they wait
+        for a slot or for the rest of their body.
         """
         self._stop_plan = plan
         self._stop_began_at = self._loop.time()
         for job in list(self._jobs.values()):
             if not self._may_take(job) and self._queue.cancel(job.number):
                 self._refuse(job, frames.STOPPING)
+        for job in list(self._incomplete_jobs):
+            if not self._may_take(job):
+                self._refuse(job, frames.STOPPING)
 
     def stop(self) -> None:
-        """Accept no new requests and refuse those that wait for a slot."""
+        """Accept no new requests and refuse those that have not started."""
         before = self.status
         self._is_stopping = True
         self._apply(self._queue.refuse_all("leaving"))
+        for job in list(self._incomplete_jobs):
+            self._refuse(job, "leaving")
         self._report_status_change(before)
 
     def end_all(self) -> None:
@@ -325,6 +333,10 @@
         sender.last_stream = max(sender.last_stream, offer.stream)
         if job.missing_bytes <= 0:
             self._submit(job)
+        elif self._may_take(job):
+            self._incomplete_jobs.add(job)
+        else:
+            self._refuse(job, frames.STOPPING)
 
     def offer_part(
         self, sender: job_module.Sender, part: frames.OfferPart
@@ -336,6 +348,7 @@
         job.body_parts.append(part.data)
         job.missing_bytes -= len(part.data)
         if job.missing_bytes <= 0:
+            self._incomplete_jobs.discard(job)
             self._submit(job)
 
     def cancel(self, sender: job_module.Sender, stream: int) -> None:
@@ -786,6 +799,7 @@
         if job.timer is not None:
             job.timer.cancel()
         self._jobs.pop(job.number, None)
+        self._incomplete_jobs.discard(job)
         if self._jobs_by_request_id.get(job.offer.request_id) is job:
             del self._jobs_by_request_id[job.offer.request_id]
         job.sender.streams.pop(job.offer.stream, None)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -523,18 +523,64 @@
     run_with_proxy(scenario, never_answer)
 
 
-def test_body_that_arrives_during_a_planned_stop_is_late_for_it():
-    """Whether a request fits is decided when it can start."""
+def test_long_body_is_not_awaited_if_its_request_may_outlast_a_stop():
+    """The sender can offer it elsewhere before it has sent all of it."""
 
     async def scenario(member, server, sender):
         proxy = member.inbound_proxy
+        proxy.begin_stop(PLAN)
         proxy.offer(
             sender, offer(1, remaining_ms=6_000, body=b"a", body_bytes=2)
         )
-        proxy.begin_stop(PLAN)
+        assert [f.reason for f in sender.frames] == [frames.STOPPING]
         proxy.offer_part(sender, frames.OfferPart(1, b"b"))
         await harness.settle()
-        assert [f.reason for f in sender.frames] == [frames.STOPPING]
+        assert len(sender.frames) == 1
         assert server.requests == []
 
     run_with_proxy(scenario)
+
+
+def refuse_at_the_signal(proxy):
+    proxy.begin_stop(PLAN)
+
+
+def refuse_at_the_end_of_the_offers(proxy):
+    proxy.stop()
+
+
+@pytest.mark.parametrize(
+    "stop", [refuse_at_the_signal, refuse_at_the_end_of_the_offers]
+)
+def test_planned_stop_refuses_offers_without_their_whole_body(stop):
+    """The node ended while a long body was on its way. The request had not
+    run, and was answered 502 "link_lost".
+    """
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        first = offer(1, remaining_ms=6_000, body=b"a", body_bytes=2)
+        proxy.offer(sender, first)
+        stop(proxy)
+        assert [type(f) for f in sender.frames] == [frames.Refusal]
+        proxy.offer_part(sender, frames.OfferPart(1, b"b"))
+        await harness.settle()
+        assert len(sender.frames) == 1
+        assert server.requests == []
+
+    run_with_proxy(scenario)
+
+
+def test_incomplete_offers_are_forgotten_when_they_end():
+    """Each would be kept with its body until the end of the process."""
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        for stream in (1, 2):
+            proxy.offer(sender, offer(stream, body=b"a", body_bytes=2))
+        proxy.offer_part(sender, frames.OfferPart(1, b"b"))
+        proxy.cancel(sender, 2)
+        await harness.settle()
+        assert not proxy._incomplete_jobs
+
+    run_with_proxy(scenario)
