Answer a request whose handling raises an unexpected error

What an unexpected error in the handling of one request did:

- in data_received, uvloop and asyncio close the connection.
On a link, all requests on it ended with 502 link_lost;
- in OutboundProxy.handle it became a parser error of httptools, and the caller got no answer and the log no line;
- at the inbound proxy the request kept its slot for ever, its caller waited for the deadline, and the node never was idle in a planned stop.
A backend address with a port of 99999 did this (OverflowError);
- while a lost link was handled, the requests behind it waited for their deadline; in a dial, the node was never dialed again.

Each path from an event to a request now ends that request: 503 if it has certainly not run, else 502, both with the reason internal_error; a job that was not sent is refused, so that another endpoint gets it. Slot, timers, memory and the entries in all tables are freed even if the answer or its record fails. The error is reported once (internal_error). The server of heartbeats answers 500. The connections in memory close on an error in data_received like those of asyncio and uvloop.

Cost: one or two further calls a request and no task or timer; try blocks cost nothing without an error.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -12,6 +12,7 @@
 
 from clementinekeel.backends import http1
 from clementinekeel.routing import table
+from clementinekeel.runtime import supervision
 
 REASON_PHRASES = {
     200: b"OK",
@@ -21,6 +22,7 @@
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
@@ -218,6 +220,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400, "upgrade_not_supported")
+        except httptools.HttpParserCallbackError as error:
+            # A fault of a callback of this class, not of the caller.
+            supervision.report_error(self._loop, "read request", error)
+            self._fail("internal_error")
         except httptools.HttpParserError as error:
             self._fail(str(error))
 
@@ -230,10 +236,10 @@
         self._pipelined.clear()
         self._parts = []
         self._parser = None
+        self._on_close(self)
         current, self._current = self._current, None
         if current is not None:
             current.cancel()
-        self._on_close(self)
 
     def on_message_begin(self) -> None:
         """Start to read a request."""
@@ -298,7 +304,13 @@
     def _handle_next(self) -> None:
         request, self._keep_alive = self._pipelined.pop(0)
         self._is_busy = True
-        current = self._server.handle(self, request)
+        try:
+            current = self._server.handle(self, request)
+        except Exception as error:
+            supervision.report_error(self._loop, "handle request", error)
+            if self._is_busy:
+                self.reject(500, "internal_error")
+            return
         if self._is_busy:
             self._current = current
 
--- a/src/clementinekeel/runtime/supervision.py
+++ b/src/clementinekeel/runtime/supervision.py
@@ -4,6 +4,7 @@
 cancels all others. A supervised task is started again instead.
 """
 
+import asyncio
 import collections
 from collections.abc import Awaitable, Callable
 import random
@@ -53,6 +54,16 @@
     return Failure(task, type(error).__name__, _trace(error.__traceback__))
 
 
+def report_error(
+    loop: asyncio.AbstractEventLoop, step: str, error: Exception
+) -> None:
+    """Report an unexpected error whose consequences the caller handles.
+
+    Never raises, and needs no log, so that it can be used anywhere.
+    """
+    loop.call_exception_handler({"message": step, "exception": error})
+
+
 class Supervisor:
     """Starts tasks again after unexpected errors.
 
--- a/src/clementinekeel/sidecar/dialer.py
+++ b/src/clementinekeel/sidecar/dialer.py
@@ -9,6 +9,7 @@
 from clementinekeel.nodes import link as link_module
 from clementinekeel.nodes import liveness
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import peer as peer_module
 from clementinekeel.sidecar import versions as versions_module
 
@@ -147,6 +148,11 @@
             # OverflowError for its port.
             self._on_dial_failed(peer, error)
             return
+        except Exception as error:
+            # The node would never be dialed again.
+            supervision.report_error(self._loop, "open link", error)
+            self._on_dial_failed(peer, error)
+            return
         if not link.is_open:
             # Its end has been reported.
             return
--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -19,6 +19,7 @@
 from clementinekeel.retries import service_budgets
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import pauses as pauses_module
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import backend_statements
 from clementinekeel.sidecar import crash_detection
 from clementinekeel.sidecar import crash_reports as crash_reports_module
@@ -304,7 +305,10 @@
     def end_all(self) -> None:
         """Report the requests that outlast a planned stop as failed."""
         for job in list(self._jobs.values()):
-            self._fail(job, "stopping")
+            try:
+                self._fail(job, "stopping")
+            except Exception as error:
+                self._on_error(job, error)
 
     def offer(
         self,
@@ -360,12 +364,15 @@
         job = sender.streams.pop(stream, None)
         if job is None or job.has_ended:
             return
-        if self._queue.cancel(job.number) or not job.number:
-            self._remove_job(job, "cancelled")
-        elif job.offer.is_idempotent or job.connection is None:
-            self._end(job, None, "cancelled")
-        else:
-            self._record_end(job, "caller_left", True)
+        try:
+            if self._queue.cancel(job.number) or not job.number:
+                self._remove_job(job, "cancelled")
+            elif job.offer.is_idempotent or job.connection is None:
+                self._end(job, None, "cancelled")
+            else:
+                self._record_end(job, "caller_left", True)
+        except Exception as error:
+            self._on_error(job, error)
 
     def cancel_all(self, sender: job_module.Sender) -> None:
         """Cancel all requests of a link that was lost."""
@@ -419,7 +426,53 @@
             )
             self._on_status_change()
 
+    def _on_error(self, job: job_module.Job, error: Exception) -> None:
+        """End a job whose handling has raised; free all that it holds.
+
+        Each step may fail as well, and those of a job that has ended already
+        change nothing.
+        """
+        supervision.report_error(self._loop, "job", error)
+        steps: list[Callable[[], object]] = []
+        if not job.has_ended:
+            job.has_ended = True
+            connection, job.connection = job.connection, None
+            if connection is not None:
+                steps.append(connection.cancel)
+            steps.append(lambda: self._send_error(job))
+            steps.append(
+                lambda: self._remove_job(job, "failed:internal_error")
+            )
+        steps.append(lambda: self._free_slot(job))
+        for step in steps:
+            try:
+                step()
+            except Exception as step_error:
+                supervision.report_error(self._loop, "end job", step_error)
+
+    def _send_error(self, job: job_module.Job) -> None:
+        """Refuse a job that was never sent to the backend server."""
+        stream, reason = job.offer.stream, "internal_error"
+        job.sender.send_result(
+            frames.Failure(stream, reason)
+            if job.sent_at
+            else frames.Refusal(
+                stream, reason, 0, self._queue.running, self._queue.queued
+            )
+        )
+
+    def _free_slot(self, job: job_module.Job) -> None:
+        self._queue.cancel(job.number)
+        changes = self._queue.finish(job.number, self._loop.time(), None)
+        self._apply(changes)
+
     def _submit(self, job: job_module.Job) -> None:
+        try:
+            self._accept_or_refuse(job)
+        except Exception as error:
+            self._on_error(job, error)
+
+    def _accept_or_refuse(self, job: job_module.Job) -> None:
         heartbeat = self._heartbeats.latest
         if heartbeat is None or not self._accepts(heartbeat):
             self._refuse(job, "leaving")
@@ -446,11 +499,17 @@
         for refusal in changes.refused:
             job = self._jobs.get(refusal.number)
             if job is not None:
-                self._refuse(job, refusal.reason)
+                try:
+                    self._refuse(job, refusal.reason)
+                except Exception as error:
+                    self._on_error(job, error)
         for number in changes.admitted:
             job = self._jobs.get(number)
             if job is not None:
-                self._start(job)
+                try:
+                    self._start(job)
+                except Exception as error:
+                    self._on_error(job, error)
         self._schedule_start()
 
     def _schedule_start(self) -> None:
@@ -492,6 +551,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _connect_and_send(self, job: job_module.Job) -> None:
+        try:
+            await self._try_to_connect_and_send(job)
+        except Exception as error:
+            self._on_error(job, error)
+
+    async def _try_to_connect_and_send(self, job: job_module.Job) -> None:
         try:
             connection = await self._pool.connect()
         except (OSError, TimeoutError) as error:
@@ -557,6 +622,14 @@
         )
 
     def _on_outcome(self, job: job_module.Job, outcome: http1.Outcome) -> None:
+        try:
+            self._handle_outcome(job, outcome)
+        except Exception as error:
+            self._on_error(job, error)
+
+    def _handle_outcome(
+        self, job: job_module.Job, outcome: http1.Outcome
+    ) -> None:
         connection, job.connection = job.connection, None
         is_refused = isinstance(outcome, http1.Answer) and any(
             name == self._dialect.not_run for name, _ in outcome.headers
@@ -746,8 +819,12 @@
         self._apply(changes)
 
     def _time_out(self, job: job_module.Job) -> None:
-        if not job.has_ended:
+        if job.has_ended:
+            return
+        try:
             self._fail(job, "backend_silent")
+        except Exception as error:
+            self._on_error(job, error)
 
     def _refuse(self, job: job_module.Job, reason: str) -> None:
         retry_after_ms = self._queue.retry_after_ms
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -18,6 +18,7 @@
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import decoding
 from clementinekeel.runtime import pauses as pauses_module
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import answer_times
 from clementinekeel.sidecar import chain as chain_module
 from clementinekeel.sidecar import dispatch
@@ -153,6 +154,15 @@
     ) -> exchange_module.Exchange | None:
         """Start to handle a request, or refuse it."""
         exchange = exchange_module.Exchange(connection, self.cancel)
+        try:
+            return self._begin(exchange, request)
+        except Exception as error:
+            self.on_error(exchange, error)
+            return None
+
+    def _begin(
+        self, exchange: exchange_module.Exchange, request: http1.Request
+    ) -> exchange_module.Exchange | None:
         exchange.started_at = request.started_at - self._pauses.lateness_s
         rejection = self._prepare(exchange, request)
         if rejection is None and not self._may_take(exchange):
@@ -181,8 +191,48 @@
         """End a request whose caller has closed the connection."""
         if exchange.has_ended:
             return
-        self._withdraw(exchange)
-        self._end(exchange, "caller_left", 499)
+        try:
+            self._withdraw(exchange)
+        finally:
+            self._end(exchange, "caller_left", 499)
+
+    def on_error(
+        self,
+        exchange: exchange_module.Exchange,
+        error: Exception,
+        has_run: bool = False,
+    ) -> None:
+        """Answer a request whose handling has raised an unexpected error.
+
+        Each offer either waits for a result, was refused or counts as a
+        possible run, so that it is known whether the request has not run.
+
+        Parameters
+        ----------
+        has_run : bool
+            Whether the error occurred in the handling of a result after which
+            the request may have run.
+        """
+        supervision.report_error(self._loop, "request of a caller", error)
+        if exchange.has_ended:
+            return
+        has_run = has_run or bool(exchange.possible_runs or exchange.pending)
+        try:
+            self._withdraw(exchange)
+            if has_run:
+                self._fail(exchange, 502, "internal_error")
+            else:
+                self._refuse(exchange, "internal_error")
+        except Exception as second_error:
+            supervision.report_error(
+                self._loop, "answer after an error", second_error
+            )
+        if not exchange.has_ended:
+            exchange.has_ended = True
+            if exchange.timer is not None:
+                exchange.timer.cancel()
+            self._active.discard(exchange)
+            exchange.connection.abort()
 
     def on_answer(
         self, exchange: exchange_module.Exchange, answer: frames.Answer
@@ -237,8 +287,11 @@
     def end_all(self) -> None:
         """Answer the requests that outlast a planned stop; they may run."""
         for exchange in list(self._active):
-            self._withdraw(exchange)
-            self._fail(exchange, 502, "stopping")
+            try:
+                self._withdraw(exchange)
+                self._fail(exchange, 502, "stopping")
+            except Exception as error:
+                self.on_error(exchange, error, has_run=True)
 
     def tick(self) -> None:
         """Retry the requests whose attempt has timed out.
@@ -418,10 +471,13 @@
     def _time_out(self, exchange: exchange_module.Exchange) -> None:
         if exchange.has_ended:
             return
-        self._withdraw(exchange)
-        if exchange.route is not None:
-            self._record_time(exchange, exchange.route)
-        self._fail(exchange, 504, "timeout")
+        try:
+            self._withdraw(exchange)
+            if exchange.route is not None:
+                self._record_time(exchange, exchange.route)
+            self._fail(exchange, 504, "timeout")
+        except Exception as error:
+            self.on_error(exchange, error, has_run=True)
 
     def _end(
         self, exchange: exchange_module.Exchange, reason: str, status: int
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -9,8 +9,10 @@
 from clementinekeel.nodes import frames
 from clementinekeel.nodes import link as link_module
 from clementinekeel.nodes import liveness
+from clementinekeel.nodes import result_memory
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import crash_reports
 from clementinekeel.sidecar import dialer
 from clementinekeel.sidecar import inbound
@@ -23,6 +25,7 @@
 """Time for which a node without an entry in the store may be unreachable
 before it is removed; after an outage of the store, entries return within two
 seconds."""
+RESULTS = (frames.Answer, frames.AnswerPart, frames.Refusal, frames.Failure)
 
 
 class Peers:
@@ -270,8 +273,12 @@
         lost, peer.exchanges = peer.exchanges, {}
         peer.reported_load = 0
         for stream, exchange in lost.items():
-            if not exchange.has_ended:
+            if exchange.has_ended:
+                continue
+            try:
                 self.outbound_proxy.on_failure(exchange, stream, "link_lost")
+            except Exception as error:
+                self.outbound_proxy.on_error(exchange, error, has_run=True)
 
     def _own_hello(self, link_number: int) -> frames.Hello:
         settings = self._settings
@@ -288,11 +295,29 @@
         )
 
     def _on_result(self, peer: peer_module.Peer, frame: frames.Frame) -> None:
+        if not isinstance(frame, RESULTS):
+            return
+        exchange = peer.exchanges.get(frame.stream)
+        try:
+            self._handle_result(peer, frame, exchange)
+        except Exception as error:
+            peer.exchanges.pop(frame.stream, None)
+            if exchange is None:
+                supervision.report_error(self._loop, "read result", error)
+            else:
+                has_run = not isinstance(frame, frames.Refusal)
+                self.outbound_proxy.on_error(exchange, error, has_run)
+
+    def _handle_result(
+        self,
+        peer: peer_module.Peer,
+        frame: result_memory.Result,
+        exchange: Any,
+    ) -> None:
         now = self._loop.time()
         if isinstance(frame, frames.Answer):
             peer.reported_load = frame.running + frame.queued
             peer.service_ms = max(1.0, frame.service_ms)
-            exchange = peer.exchanges.get(frame.stream)
             peer.on_result(frame.status < 500, now)
             if exchange is None:
                 return
@@ -304,7 +329,6 @@
                 del peer.exchanges[frame.stream]
             self.outbound_proxy.on_answer(exchange, frame)
         elif isinstance(frame, frames.AnswerPart):
-            exchange = peer.exchanges.get(frame.stream)
             if exchange is not None:
                 offer = exchange.pending[frame.stream]
                 if offer.missing_bytes <= len(frame.data):
@@ -312,12 +336,12 @@
                 self.outbound_proxy.on_answer_part(exchange, frame)
         elif isinstance(frame, frames.Refusal):
             peer.reported_load = frame.running + frame.queued
-            exchange = peer.exchanges.pop(frame.stream, None)
+            peer.exchanges.pop(frame.stream, None)
             if exchange is not None and not exchange.has_ended:
                 self.outbound_proxy.on_refusal(exchange, frame)
-        elif isinstance(frame, frames.Failure):
+        else:
             peer.on_result(False, now)
-            exchange = peer.exchanges.pop(frame.stream, None)
+            peer.exchanges.pop(frame.stream, None)
             if exchange is not None and not exchange.has_ended:
                 self.outbound_proxy.on_failure(
                     exchange, frame.stream, frame.reason
--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -111,8 +111,16 @@
             self.loop.after_delay(self.peer.deliver, bytes(data))
 
     def deliver(self, data):
-        if not self.is_closed:
+        if self.is_closed:
+            return
+        try:
             self.protocol.data_received(data)
+        except Exception as error:
+            # As on the transports of asyncio and uvloop.
+            self.loop.call_exception_handler(
+                {"message": "data_received() failed", "exception": error}
+            )
+            self.abort()
 
     def close(self):
         if self.unsent:
