Receive signals that the starting process has blocked

Operators see: a node that was started with SIGTERM blocked has no planned stop. It is killed at the end of the grace time, with all requests on it.

Cause: a process inherits the signal mask of the one that starts it, also if that one has blocked signals for a short time only.

Change: the entry point unblocks SIGTERM, SIGINT and SIGHUP, after SIGHUP is ignored.

--- a/src/clementinekeel/__main__.py
+++ b/src/clementinekeel/__main__.py
@@ -11,6 +11,12 @@
     # takes time comes before.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# The mask is inherited. A node that does not get SIGTERM has no planned stop
+# and is killed with its requests.
+signal.pthread_sigmask(
+    signal.SIG_UNBLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+)
+
 from clementinekeel.runtime import standard_streams  # noqa: E402
 
 # Before the other imports, since a library may keep a descriptor open.
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -2,6 +2,7 @@
 
 import itertools
 import os
+import signal
 import subprocess
 import sys
 
@@ -43,6 +44,15 @@
 print("out", flush=True)
 print("error", file=sys.stderr, flush=True)
 """
+MASK = """
+import signal
+import sys
+
+sys.argv = ["clementinekeel"]
+import clementinekeel.__main__
+
+assert not signal.pthread_sigmask(signal.SIG_BLOCK, ())
+"""
 STREAMS = (0, 1, 2)
 
 
@@ -87,3 +97,15 @@
     )
     _, status = os.waitpid(process, 0)
     assert os.waitstatus_to_exitcode(status) == 0
+
+
+def test_signals_that_the_starter_blocks_reach_a_process():
+    """A node never saw SIGTERM, and was killed at the end of its grace."""
+    process = os.posix_spawn(
+        sys.executable,
+        [sys.executable, "-c", MASK],
+        {"PYTHONPATH": "src"},
+        setsigmask=(signal.SIGTERM, signal.SIGINT, signal.SIGHUP),
+    )
+    _, status = os.waitpid(process, 0)
+    assert os.waitstatus_to_exitcode(status) == 0
