Keep descriptors for the node itself under the system's limit

Operators would see: a node that is not ready any more, and reaches neither the store nor other nodes, while callers hold more connections than the system's limit on descriptors.

Readiness checks and heartbeats counted like callers and were refused with them.

Callers leave the reserve free, and half of it is for readiness checks, heartbeats and metrics.

Measured: with the reserve for readiness taken out, test_connections_of_callers_leave_room_for_readiness_checks fails; with it, it passes.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -12,6 +12,7 @@
 from clementinekeel.platform import heartbeats
 from clementinekeel.platform import settings as settings_module
 from clementinekeel.platform import store
+from clementinekeel.runtime import descriptors
 from clementinekeel.runtime import errors
 from clementinekeel.runtime import standard_streams
 from clementinekeel.sidecar import adapter as adapter_module
@@ -44,6 +45,7 @@
     if settings is None:
         standard_streams.print_error(str(loaded.failure()))
         return EXIT_FAULTY
+    descriptors.raise_limit(settings.max_descriptors)
     uvloop.install()
     try:
         anyio.run(_run, settings, path)
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -17,6 +17,7 @@
 from clementinekeel.membership import heartbeats
 from clementinekeel.routing import placement
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import descriptors
 from clementinekeel.runtime import errors
 from clementinekeel.runtime import pauses
 from clementinekeel.runtime import supervision
@@ -46,7 +47,9 @@
 ended meanwhile, and a change may have been missed."""
 RESERVED_DESCRIPTORS = 500
 """Descriptors reserved for links, the backend server, the store and files; at
-most half of all, so that callers are served under a low limit too."""
+most half of all, so that callers are served under a low limit too. Half of the
+reserve may go to readiness checks, heartbeats and questions for metrics, which
+are answered however many callers are connected."""
 BODY_MEMORY_SHARE = 0.15
 """Share of the memory limit that request bodies may take."""
 ADDRESS_WAIT_MARGIN_S = 3.0
@@ -121,6 +124,10 @@
         )
         self._peers.attach(self._inbound_proxy, self._outbound_proxy)
         self._connections: set[http1.ServerConnection] = set()
+        usable = descriptors.limit(settings.max_descriptors)
+        reserved = min(RESERVED_DESCRIPTORS, usable // 2)
+        self._max_callers = usable - reserved
+        self._max_connections = usable - reserved // 2
         self._store_connections = calls.StoreConnections(
             *settings.store, adapter.dialect.store_epoch, self._on_store_epoch
         )
@@ -165,12 +172,6 @@
         """Whether callers may be sent to this node."""
         return not self._is_stopping and self._outbound_proxy.version > 0
 
-    @property
-    def _max_connections(self) -> int:
-        """Connections of callers that may be open."""
-        total = self._settings.max_descriptors
-        return total - min(RESERVED_DESCRIPTORS, total // 2)
-
     async def run(self) -> None:
         """Serve until a signal to stop, then answer the requests in flight.
 
@@ -223,10 +224,7 @@
                 await self._listen(
                     settings.readiness, lambda: self._accept(server)
                 ),
-                await self._listen(
-                    settings.outbound,
-                    lambda: self._accept(self._outbound_proxy),
-                ),
+                await self._listen(settings.outbound, self._accept_caller),
             ]
             self._decisions.write(
                 "node_started",
@@ -330,11 +328,18 @@
             listener.close()
 
     def _accept(self, server: http1.Server) -> http1.ServerConnection:
-        return http1.ServerConnection(server, self._on_open, self._on_close)
+        on_open = functools.partial(self._on_open, self._max_connections)
+        return http1.ServerConnection(server, on_open, self._on_close)
+
+    def _accept_caller(self) -> http1.ServerConnection:
+        on_open = functools.partial(self._on_open, self._max_callers)
+        return http1.ServerConnection(
+            self._outbound_proxy, on_open, self._on_close
+        )
 
-    def _on_open(self, connection: http1.ServerConnection) -> None:
+    def _on_open(self, limit: int, connection: http1.ServerConnection) -> None:
         self._connections.add(connection)
-        if len(self._connections) > self._max_connections:
+        if len(self._connections) > limit:
             self._decisions.write(
                 "connection_refused", False, open=len(self._connections)
             )
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -535,6 +535,34 @@
     assert b'"event":"reloaded"' in run_node(scenario)
 
 
+def test_connections_of_callers_leave_room_for_readiness_checks(
+    run_node, monkeypatch
+):
+    """A node with as many idle callers as it takes was not ready, and its own
+    sockets got no descriptor where the system's limit was lower still.
+    """
+    monkeypatch.setattr(node.descriptors, "limit", lambda allowed: 40)
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        loop = asyncio.get_running_loop()
+        idle = [
+            await loop.create_connection(
+                asyncio.Protocol, *environment.settings.outbound
+            )
+            for _ in range(30)
+        ]
+        await harness.settle(0.1)
+        assert await environment.is_ready()
+        assert (await environment.heartbeat(2)).status == 200
+        assert await metric(environment, "caller_connections") <= 30
+        for transport, _ in idle:
+            transport.close()
+
+    assert b'"event":"connection_refused"' in run_node(scenario)
+
+
 async def metric(environment, name):
     """Return the line of a metric without labels."""
     answer = await call(
