Log values that cannot be encoded in another form

Operators would see: a node with a path of its settings that is no UTF-8 ends with exit code 1 at SIGHUP when the file cannot be read.

Cause: the encoder of log lines raises for text without an encoding, very long integers and objects without a text, and the exception ended the task that logged, and the node with it.

Change: such a line is written with escapes, numbers, and the types of other values in place of the values.

Measured: 4 cases of test_value_that_cannot_be_encoded_does_not_raise fail on the code before (UnicodeEncodeError, ValueError, RuntimeError); after, all pass.

--- a/src/clementinekeel/runtime/decision_log.py
+++ b/src/clementinekeel/runtime/decision_log.py
@@ -25,6 +25,8 @@
 added, up to their own limit."""
 FLUSH_INTERVAL_S = 0.1
 """Time between two writes; one system call writes many lines."""
+MAX_INTEGER_BITS = 64
+"""Longer integers may have more digits than Python writes out."""
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
 
@@ -78,16 +80,20 @@
         elif len(self._lines) >= MAX_LINES_PER_FLUSH:
             self.lines_left_out["volume"] += 1
             return
-        self._lines.append(
-            _encoder.encode(
-                {
-                    "time": round(time.time(), 3),
-                    "event": event,
-                    "node": self._node,
-                    **fields,
-                }
+        content = {
+            "time": round(time.time(), 3),
+            "event": event,
+            "node": self._node,
+            **fields,
+        }
+        try:
+            line = _encoder.encode(content)
+        except Exception:
+            # A line must not end the task that writes it.
+            line = _encoder.encode(
+                {name: _encodable(value) for name, value in content.items()}
             )
-        )
+        self._lines.append(line)
 
     def write_line(self, line: bytes) -> None:
         """Add an encoded line, unless the limit per flush leaves it out."""
@@ -127,3 +133,14 @@
                 self.flush()
         finally:
             self.flush()
+
+
+def _encodable(value: Any) -> float | str:
+    """Return a number or a text with escapes; of others, only the type."""
+    if isinstance(value, float):
+        return value
+    if isinstance(value, int) and value.bit_length() <= MAX_INTEGER_BITS:
+        return value
+    if isinstance(value, str):
+        return value.encode(errors="backslashreplace").decode()
+    return type(value).__name__
--- a/tests/runtime/test_decision_log.py
+++ b/tests/runtime/test_decision_log.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import pytest
+
 from clementinekeel.runtime import decision_log
 
 
@@ -18,6 +20,33 @@
     assert (content["node"], content["request_id"]) == ("n1", "r")
 
 
+class Unprintable:
+    def __str__(self):
+        raise RuntimeError
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["\udcff", OSError("\udcff"), 10**5_000, Unprintable()],
+    ids=["surrogate", "error", "long_integer", "unprintable"],
+)
+def test_value_that_cannot_be_encoded_does_not_raise(tmp_path, value):
+    """The path of the settings was no UTF-8; a node that logged a failed
+    reload ended with all its requests.
+    """
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    log = decision_log.DecisionLog("n1", descriptor)
+    log.write("reload_failed", False, status=503, reason=value)
+    log.flush()
+    os.close(descriptor)
+    content = json.loads(path.read_text())
+    assert content["event"] == "reload_failed"
+    assert content["status"] == 503
+    assert content["time"] > 0
+    assert content["reason"]
+
+
 def test_full_pipe_loses_lines_without_blocking():
     """A reader that stops reading must not block the node."""
     reader, writer = os.pipe()
