Leave new connections open in a planned stop

Cause: 2.6 s after the signal a node begins to close idle connections every 50 ms. One that was opened for a call a moment ago counts as idle until its first bytes are read.

Change: a connection is not idle in the first 0.5 s after it was opened. Kept connections are closed as before: each of them has been told by its last answer, or has been unused since before the signal.

Test: test_planned_stop_leaves_new_connections_open, a request 0.1 s after its connection was opened: the connection was closed without an answer before; now the request is answered, and a connection that stays unused is closed 0.6 s later.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -27,6 +27,9 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+NEW_CONNECTION_S = 0.5
+"""Time for which a new connection is not idle: its first request is on its
+way, at most a round trip later."""
 MAX_PIPELINED = 8
 """Requests that may wait on one connection; further ones are rejected."""
 
@@ -115,7 +118,7 @@
         self._parts: list[bytes] = []
         self._body_bytes = 0
         self._started_at = 0.0
-        self._last_active_at = self._loop.time()
+        self._opened_at = self._last_active_at = self._loop.time()
         self.remote_host = ""
 
     @property
@@ -181,10 +184,15 @@
             self._transport.abort()
 
     def close_idle(self) -> None:
-        """Close the connection unless a request is being read or handled."""
+        """Close the connection unless a request is being read or handled.
+
+        A new connection stays open for its first request.
+        """
         if self._is_busy or self._is_reading or self._transport is None:
             return
-        self._transport.close()
+        age_s = self._loop.time() - self._opened_at
+        if age_s >= NEW_CONNECTION_S:
+            self._transport.close()
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle or slow beyond its limits.
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -427,6 +427,54 @@
     run_node(scenario)
 
 
+def test_planned_stop_leaves_new_connections_open(run_node):
+    """Idle connections are closed every 50 ms. One that had just been opened
+    for a call was closed before its request was read, and the request that
+    made the call failed.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        waiting = []
+        environment.behave = lambda c, h, i: waiting.append((c, i))
+        environment.node._outbound_proxy.activate(
+            harness.routing_table(
+                2, (harness.ROUTE._replace(timeout_ms=5_000),)
+            )
+        )
+        parent = asyncio.ensure_future(environment.request(1))
+        await harness.settle(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(3)
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: http1.HttpConnection(b""), *environment.settings.outbound
+        )
+        _, unused = await loop.create_connection(
+            lambda: http1.HttpConnection(b""), *environment.settings.outbound
+        )
+        await harness.settle(0.1)
+        answered = loop.create_future()
+        connection.send(
+            b"GET /a/x HTTP/1.1\r\nHost: h\r\nId: r1.1\r\n\r\n",
+            b"",
+            b"",
+            False,
+            answered.set_result,
+        )
+        answer = await answered
+        # It is read; the only endpoint is the one that the stop concerns.
+        assert answer.status == 503
+        await harness.settle(0.6)
+        assert unused._transport.is_closing()
+        waiting[0][0].answer(waiting[0][1])
+        assert (await parent).status == 200
+        await environment.task
+
+    run_node(scenario)
+
+
 @pytest.mark.parametrize("who", ["own", "other"])
 def test_log_tells_which_stop_broke_off_a_request(run_node, who):
     """The same reason stood for the stop of the node that took the request
