Test changes during planned stops of any grace time

Not a fault: a request in flight is answered when the settings are reloaded, its route is removed, its endpoint drains, leaves or is replaced, the store is away or the signal comes again, in stops with a grace of 1, 2, 6, 10 and 30 s. All 35 cases pass on the code before this commit as well; nothing tested them.

--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -475,6 +475,89 @@
     run_node(scenario)
 
 
+async def reload_settings(environment):
+    environment.reloaded = environment.settings._replace(service="other")
+    os.kill(os.getpid(), signal.SIGHUP)
+
+
+async def remove_route(environment):
+    environment.node._outbound_proxy.activate(harness.routing_table(3, ()))
+
+
+async def let_endpoint_leave(environment):
+    await environment.leave()
+
+
+async def let_endpoint_drain(environment):
+    await environment.heartbeat(2, "draining")
+
+
+async def replace_endpoint(environment):
+    await environment.heartbeat(2, endpoint="e-new", incarnation_ms=2)
+
+
+async def lose_store(environment):
+    environment.store.fail(test_registration.K.UNANSWERED)
+
+
+async def stop_again(environment):
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGINT)
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, 6.0, 10.0, 30.0])
+@pytest.mark.parametrize(
+    "change",
+    [
+        reload_settings,
+        remove_route,
+        let_endpoint_leave,
+        let_endpoint_drain,
+        replace_endpoint,
+        lose_store,
+        stop_again,
+    ],
+)
+def test_change_in_a_planned_stop_breaks_off_no_request(
+    run_node, change, grace_s
+):
+    """A request in flight must be answered whatever else happens."""
+
+    async def scenario(environment):
+        environment.node = node.Node(
+            environment.settings._replace(
+                stop_timeout_ms=round(grace_s * 1000)
+            ),
+            environment.adapter(),
+        )
+        os.kill(os.getpid(), signal.SIGTERM)
+        await environment.task
+        await environment.start()
+        await environment.heartbeat()
+        await environment.heartbeat(2)
+        await harness.settle(0.1)
+        waiting = []
+        environment.behave = lambda c, h, i: waiting.append((c, i))
+        environment.node._outbound_proxy.activate(
+            harness.routing_table(
+                2, (harness.ROUTE._replace(timeout_ms=60_000),)
+            )
+        )
+        request = asyncio.ensure_future(environment.request(1, timeout_s=60.0))
+        await harness.settle(0.01)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(grace_s * 0.4)
+        await change(environment)
+        await harness.settle(grace_s * 0.4)
+        ((connection, request_id),) = waiting
+        connection.answer(request_id)
+        answer = await request
+        assert (answer.status, answer.body) == (200, b"fine")
+        await environment.task
+
+    run_node(scenario)
+
+
 @pytest.mark.parametrize("who", ["own", "other"])
 def test_log_tells_which_stop_broke_off_a_request(run_node, who):
     """The same reason stood for the stop of the node that took the request
