Keep a link when one of its frames is malformed or raises an error

The length of a frame is checked apart from its content, so that the frames behind a malformed one can still be read: it is logged (frame_dropped) and left out, and the request that it concerns ends at its deadline. The same holds for an error in the handling of a frame, which is reported (internal_error). A malformed or failing Hello or Resume still ends the link, since the other node's view of it is then unknown, as does a length out of bounds or a malformed frame before the Hello. Frames that were read together with the one that ended a link are ignored.

--- a/src/clementinekeel/nodes/frames.py
+++ b/src/clementinekeel/nodes/frames.py
@@ -406,11 +406,31 @@
     return length + _KIND_NUMBERS[type(frame)].to_bytes(1, "big") + content
 
 
+class MalformedFrame(NamedTuple):
+    """A frame whose length is valid and whose content is not.
+
+    Attributes
+    ----------
+    kind : type or None
+        Kind of the frame; None if it is unknown.
+    """
+
+    kind: type[Any] | None
+    reason: str
+
+
 class FrameReader:
-    """Splits a byte stream into frames."""
+    """Splits a byte stream into frames.
+
+    Attributes
+    ----------
+    malformed : list of MalformedFrame
+        Frames that were left out; emptied by the user of the reader.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self.malformed: list[MalformedFrame] = []
 
     def feed(self, data: bytes) -> list[Frame]:
         """Add received bytes and return the frames that are complete.
@@ -418,7 +438,7 @@
         Raises
         ------
         FrameError
-            If the bytes are no valid frame; the stream cannot be read any
+            If a length is out of its bounds; the stream cannot be read any
             further.
         """
         buffer = self._buffer
@@ -434,8 +454,12 @@
                 break
             kind = buffer[start + 4]
             content = bytes(buffer[start + HEADER_BYTES : end])
-            complete.append(_decode(kind, content))
             start = end
+            try:
+                complete.append(_decode(kind, content))
+            except FrameError as error:
+                known = _KINDS[kind] if kind < len(_KINDS) else None
+                self.malformed.append(MalformedFrame(known, error.reason))
         if start:
             del buffer[:start]
         return complete
--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -10,9 +10,13 @@
 from clementinekeel.nodes import transit
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import sockets
+from clementinekeel.runtime import supervision
 
 SILENCE_LIMITS = sockets.SilenceLimits(unacknowledged_ms=3_000, probes=0)
 """Pings test idle links, so that the kernel sends no probes."""
+ESSENTIAL = (frames.Hello, frames.Resume)
+"""Frames without which the other node's view of the link is unknown. Any other
+one concerns one request at most, which ends at its deadline."""
 
 
 class Link(asyncio.Protocol):
@@ -67,6 +71,7 @@
         self._loop = asyncio.get_running_loop()
         self._liveness = liveness.Liveness(self._loop.time())
         self._is_replaced = False
+        self._is_ended = False
         self._waiting_bytes = 0
         self.number = number
         self.peer: frames.Hello | None = None
@@ -141,7 +146,8 @@
         self._liveness.on_offer(self._loop.time())
 
     def abort(self) -> None:
-        """End the link at once."""
+        """End the link at once; frames that have been read are ignored."""
+        self._is_ended = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -217,13 +223,43 @@
             self.abort()
             return
         for frame in received:
-            self._on_frame(self, frame)
+            if self._is_ended:
+                return
+            try:
+                self._on_frame(self, frame)
+            except Exception as error:
+                self._on_error(frame, error)
+        if self._reader.malformed:
+            self._drop_malformed()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection."""
         if not self._is_replaced:
             self._on_lost(self)
 
+    def _on_error(self, frame: frames.Frame, error: Exception) -> None:
+        """Keep the link for its other requests, unless its state is unknown.
+
+        An error in a callback of the event loop would end it.
+        """
+        step = f"frame {type(frame).__name__}"
+        supervision.report_error(self._loop, step, error)
+        if isinstance(frame, ESSENTIAL):
+            self.abort()
+
+    def _drop_malformed(self) -> None:
+        """Leave out frames that can't be decoded; the next ones can be."""
+        malformed, self._reader.malformed = self._reader.malformed, []
+        for frame in malformed:
+            self._decisions.write(
+                "frame_dropped",
+                False,
+                peer=self._peer_name,
+                reason=frame.reason,
+            )
+        if self.peer is None or any(f.kind in ESSENTIAL for f in malformed):
+            self.abort()
+
     def _note_progress(self, now: float) -> None:
         """Notice that data which had to wait has been sent."""
         waiting_bytes = self.unsent_bytes
