Wait for the clock to advance before a huge rate limit's permit

A backend server that states a limit of 15 digits made its node try to start a waiting request again and again at the same time: the wait for the next permit was shorter than a float of the clock can tell. With the virtual clock of the tests that never ends; on a real loop, whose clock advances meanwhile, it takes processor time until its next millisecond (by reading, not measured). A wait is now one millisecond at least; permits for that time are not lost.

Found by tests/sidecar/test_odd_http.py, which sends a node odd answers of its backend server, odd answers to health checks, odd requests of callers and odd heartbeats, and checks that no error reaches the event loop and that later requests are answered.

--- a/src/clementinekeel/admission/rate_limiter.py
+++ b/src/clementinekeel/admission/rate_limiter.py
@@ -10,6 +10,9 @@
 tells that a limit has ended."""
 BURST_S = 0.25
 """Time for which permits accumulate while no request uses them."""
+MIN_WAIT_S = 0.001
+"""Resolution of the event loop's clock; a shorter wait would be repeated until
+the clock has advanced."""
 _ROUNDING = 1e-6
 """Permits that may be missing because of rounded times."""
 
@@ -69,7 +72,9 @@
         if self._rate_per_s is None:
             return now
         self._accumulate(now)
-        return now + max(0.0, 1 - self._permits) / self._rate_per_s
+        if self._permits >= 1 - _ROUNDING:
+            return now
+        return now + max(MIN_WAIT_S, (1 - self._permits) / self._rate_per_s)
 
     @property
     def _max_permits(self) -> float:
--- a/tests/admission/test_rate_limiter.py
+++ b/tests/admission/test_rate_limiter.py
@@ -75,3 +75,12 @@
     for index, start in enumerate(granted):
         for count, end in enumerate(granted[index:], 1):
             assert count <= rate * (end - start) + burst + 0.01
+
+
+def test_wait_for_a_permit_of_a_huge_limit_advances_the_clock():
+    """Starts were tried again and again at the same time."""
+    limiter = limited(10.0**15)
+    assert not limiter.try_consume(NOW)
+    permit_at = limiter.next_permit_at(NOW)
+    assert permit_at > NOW
+    assert limiter.try_consume(permit_at)
