Answer requests in progress before a rejection

A caller may send a request behind one that is still in progress. If the later one was rejected (431, 413, 503 for want of memory, or 400 as the tenth), the connection sent that status at once, as the answer to the request in progress, and dropped that request's own answer. 503 and 431 say that a request has not run.

A rejection now waits until the requests that were read before it are answered. The connection reads nothing more meanwhile and is closed after the rejection, as before. The tenth request itself gets the 400.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -110,6 +110,8 @@
         self._current: PendingRequest | None = None
         self._is_busy = False
         self._is_refused = False
+        # Status and reason of the last answer, behind requests in progress.
+        self._rejection: tuple[int, str] | None = None
         self._keep_alive = True
         self._is_reading = False
         self._target = b""
@@ -157,7 +159,11 @@
         if transport is None or transport.is_closing():
             return
         # A stopping node still answers what the caller has pipelined.
-        is_last = self._server.is_stopping and not self._pipelined
+        is_last = (
+            self._server.is_stopping
+            and not self._pipelined
+            and self._rejection is None
+        )
         keep = keep and self._keep_alive and not is_last
         connection = b"" if keep else b"Connection: close\r\n"
         transport.write(
@@ -169,14 +175,22 @@
             transport.close()
         elif self._pipelined:
             self._handle_next()
+        elif self._rejection is not None:
+            self._answer_rejection(*self._rejection)
 
     def reject(self, status: int, reason: str) -> None:
-        """Answer with an error of the node itself and close the connection."""
+        """Answer with an error of the node itself and close the connection.
+
+        Requests that were read before are answered first: the status says
+        nothing of them, and they may run.
+        """
         self._is_refused = True
-        head, body = error_answer(status, reason)
-        self._pipelined.clear()
         self._parts = []
-        self.respond(head, body, keep=False)
+        self._body_bytes = 0
+        if self._is_busy:
+            self._rejection = status, reason
+        else:
+            self._answer_rejection(status, reason)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -307,6 +321,7 @@
         if not self._is_busy:
             self._handle_next()
         elif len(self._pipelined) > MAX_PIPELINED:
+            self._pipelined.pop()
             self.reject(400, "too_many_pipelined_requests")
 
     def _handle_next(self) -> None:
@@ -317,11 +332,17 @@
         except Exception as error:
             supervision.report_error(self._loop, "handle request", error)
             if self._is_busy:
-                self.reject(500, "internal_error")
+                self._pipelined.clear()
+                self._answer_rejection(500, "internal_error")
             return
         if self._is_busy:
             self._current = current
 
+    def _answer_rejection(self, status: int, reason: str) -> None:
+        self._is_refused = True
+        head, body = error_answer(status, reason)
+        self.respond(head, body, keep=False)
+
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._is_refused:
--- a/tests/callers/test_http1.py
+++ b/tests/callers/test_http1.py
@@ -293,3 +293,49 @@
 
     with memory_tracing.no_collection():
         memory_loop.run(main)
+
+
+BOOKING = b"POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(
+            b"GET /b HTTP/1.1\r\nX: " + b"y" * 300 + b"\r\n\r\n",
+            431,
+            id="long header",
+        ),
+        pytest.param(
+            b"POST /b HTTP/1.1\r\nContent-Length: 101\r\n\r\n" + b"z" * 101,
+            413,
+            id="long body",
+        ),
+        pytest.param(
+            b"POST /b HTTP/1.1\r\nContent-Length: 95\r\n\r\n" + b"z" * 95,
+            503,
+            id="no memory",
+        ),
+        pytest.param(BOOKING * 9, 400, id="too many requests"),
+    ],
+)
+def test_rejection_does_not_answer_the_requests_before_it(data, status):
+    """A request that ran got the status of the one behind it: 503 and 431
+    tell its caller that it has not run.
+    """
+
+    async def scenario(transport, caller, server, _):
+        transport.write(BOOKING)
+        await harness.settle(0.01)
+        transport.write(data)
+        await harness.settle(0.01)
+        assert caller.received == b""
+        await harness.settle(5)
+        statuses = [
+            int(answer[:3])
+            for answer in caller.received.split(b"HTTP/1.1 ")[1:]
+        ]
+        assert statuses == [200] * len(server.requests) + [status]
+        assert caller.is_closed
+
+    run_caller(scenario, FakeServer(delay_s=0.1))
