Cancel a request behind one that was answered at once

Of three pipelined requests the second was refused at once when its turn came, and the third was then in progress. The return from the handling of the second one replaced the third as the current request of the connection. When the caller closed the connection, the third was not cancelled and ran on at its endpoint.

The connection now notes a request as the current one only if no later one has begun.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -108,6 +108,7 @@
         self._transport: asyncio.Transport | None = None
         self._pipelined: list[tuple[Request, bool]] = []
         self._current: PendingRequest | None = None
+        self._handled_count = 0
         self._is_busy = False
         self._is_refused = False
         # Status and reason of the last answer, behind requests in progress.
@@ -327,6 +328,7 @@
     def _handle_next(self) -> None:
         request, self._keep_alive = self._pipelined.pop(0)
         self._is_busy = True
+        self._handled_count = number = self._handled_count + 1
         try:
             current = self._server.handle(self, request)
         except Exception as error:
@@ -335,7 +337,8 @@
                 self._pipelined.clear()
                 self._answer_rejection(500, "internal_error")
             return
-        if self._is_busy:
+        # Behind one that was answered at once, the next may be in progress.
+        if self._is_busy and number == self._handled_count:
             self._current = current
 
     def _answer_rejection(self, status: int, reason: str) -> None:
--- a/tests/callers/test_http1.py
+++ b/tests/callers/test_http1.py
@@ -339,3 +339,30 @@
         assert caller.is_closed
 
     run_caller(scenario, FakeServer(delay_s=0.1))
+
+
+@pytest.mark.parametrize("is_returned", [False, True])
+def test_request_behind_one_that_is_refused_at_once_is_cancelled(is_returned):
+    """The refused request took its place, so that it went on at its endpoint
+    after the caller had closed the connection.
+    """
+    server = FakeServer(delay_s=1.0)
+    handle, refused = server.handle, FakeServer()
+
+    def refuse_second(connection, request):
+        if request.target != b"/refused":
+            return handle(connection, request)
+        connection.respond(b"HTTP/1.1 503 X\r\n", b"")
+        return refused if is_returned else None
+
+    server.handle = refuse_second
+
+    async def scenario(transport, caller, server, _):
+        transport.write(GET + GET.replace(b"/a/x", b"/refused") + GET)
+        await harness.settle(1.1)
+        assert len(server.requests) == 2
+        transport.close()
+        await harness.settle(0.1)
+        assert (server.cancelled, refused.cancelled) == (1, 0)
+
+    run_caller(scenario, server)
