Answer 500 if the node fails to read a request

An unexpected error while a request was read gave its caller 400 "internal_error": a proper request was called a fault of its caller, which does not try again after 400.

The answer is 500 now, and 400 stays for requests that can't be parsed.

test_fault_of_the_node_is_not_called_a_fault_of_the_caller fails before this change with 400, and passes now.

--- a/src/clementinekeel/callers/http1.py
+++ b/src/clementinekeel/callers/http1.py
@@ -246,9 +246,9 @@
         except httptools.HttpParserCallbackError as error:
             # A fault of a callback of this class, not of the caller.
             supervision.report_error(self._loop, "read request", error)
-            self._fail("internal_error")
+            self._fail(500, "internal_error")
         except httptools.HttpParserError as error:
-            self._fail(str(error))
+            self._fail(400, str(error))
 
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
@@ -353,14 +353,14 @@
         if self._header_bytes > self._server.limits.header_bytes:
             self.reject(431, "headers_too_long")
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, status: int, reason: str) -> None:
         if self._is_busy:
             # The current request is still answered; all later bytes are
             # ignored.
             self._is_refused = True
             self._keep_alive = False
         else:
-            self.reject(400, reason)
+            self.reject(status, reason)
 
 
 def _end_to_end(
--- a/tests/callers/test_http1.py
+++ b/tests/callers/test_http1.py
@@ -366,3 +366,24 @@
         assert (server.cancelled, refused.cancelled) == (1, 0)
 
     run_caller(scenario, server)
+
+
+def test_fault_of_the_node_is_not_called_a_fault_of_the_caller():
+    """A proper request got 400, after which its caller doesn't try again."""
+    server = FakeServer()
+
+    def fail(_size):
+        raise ValueError
+
+    server.has_memory_for = fail
+
+    async def scenario(transport, caller, server, _):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        transport.write(b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc")
+        await harness.settle()
+        assert caller.received.startswith(b"HTTP/1.1 500 ")
+        assert caller.is_closed
+        assert server.requests == []
+
+    run_caller(scenario, server)
