Keep a node running after a cancellation from inside

A task that waits for a future raises CancelledError if that future is cancelled, although nobody has cancelled the task. Supervision took this for a request to end, and the task group then cancelled all its tasks: the process ended with exit code 0 and without a planned stop, and cut the requests in flight. The log held no error.

A supervised task whose end was not requested is now started again, as after any other error. No event from outside that cancels such a future is known.

test_cancellation_that_nobody_asked_for_does_not_end_a_node fails before this change, since the node has ended, and passes now, with the other tests of tests/sidecar/test_node_errors and tests/runtime/test_supervision.

--- a/src/clementinekeel/runtime/supervision.py
+++ b/src/clementinekeel/runtime/supervision.py
@@ -107,6 +107,10 @@
             try:
                 await function()
                 return
+            except asyncio.CancelledError as error:
+                if _is_being_cancelled():
+                    raise
+                self.report(task, error)
             except Exception as error:
                 self.report(task, error)
             if anyio.current_time() - started_at >= RESET_AFTER_S:
@@ -122,7 +126,7 @@
             self.report(task, error)
             return None
 
-    def report(self, task: str, error: Exception) -> None:
+    def report(self, task: str, error: BaseException) -> None:
         """Log and count an unexpected error that the caller has caught."""
         try:
             self._on_failure(describe(task, error))
@@ -131,6 +135,16 @@
             self.unreported += 1
 
 
+def _is_being_cancelled() -> bool:
+    """Tell whether the end of the current task has been requested.
+
+    A task that waits for a future which is cancelled raises the same error,
+    and a task group would then cancel all its tasks.
+    """
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
+
+
 def _trace(traceback: types.TracebackType | None) -> str:
     entries: collections.deque[str] = collections.deque(
         maxlen=MAX_TRACE_ENTRIES
--- a/tests/sidecar/test_node_errors.py
+++ b/tests/sidecar/test_node_errors.py
@@ -204,6 +204,34 @@
     assert b'"event":"task_failed"' in run_node(scenario)
 
 
+def test_cancellation_that_nobody_asked_for_does_not_end_a_node(
+    run_node, monkeypatch
+):
+    """A task that waits for a cancelled future raises the error by which
+    tasks are cancelled. All tasks ended with it, without a planned stop.
+    """
+
+    async def scenario(environment):
+        await prepare(environment)
+        request, answer = await begin_request(environment)
+
+        async def wait_in_vain(*_):
+            waited_for = asyncio.get_running_loop().create_future()
+            waited_for.cancel()
+            await waited_for
+
+        with monkeypatch.context() as patches:
+            patches.setattr(environment.store, "renew", wait_in_vain)
+            await harness.settle(8)
+        assert not environment.task.done()
+        answer()
+        assert (await request).status == 200
+        await registration_works(environment)
+
+    log = run_node(scenario)
+    assert b'"task":"registration","error":"CancelledError"' in log
+
+
 def test_node_starts_while_the_metrics_fail(run_node, monkeypatch):
     faults = []
     listen = test_node.node.Node._listen
