Deliver delayed data of the test loop in order

The event loop of the tests delivered data with a timer for each write when it had a delay. Timers for the same time run in any order, so that the frames of a link were mixed up: in a trial with six members and answers of four parts, some answers never arrived.

Data with the same delay now arrive in the order in which they were written.

--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import selectors
 import socket
 
@@ -172,6 +173,7 @@
         self.transports = []
         self.silent_hosts = set()
         self.delay_s = 0.0
+        self._delayed = collections.defaultdict(collections.deque)
         self.connect_delay_s = 0.0
 
     def time(self):
@@ -179,10 +181,18 @@
 
     def after_delay(self, function, *arguments):
         if self.delay_s:
-            self.call_later(self.delay_s, function, *arguments)
+            # Timers for the same time run in any order.
+            delayed = self._delayed[self.delay_s]
+            delayed.append((function, arguments))
+            self.call_later(self.delay_s, self._run_next, delayed)
         else:
             self.call_soon(function, *arguments)
 
+    @staticmethod
+    def _run_next(delayed):
+        function, arguments = delayed.popleft()
+        function(*arguments)
+
     async def create_server(self, factory, host, port, **_options):
         self.listeners[(host, port)] = factory
         return _Server(self, (host, port))
