Refuse offers that wait for a connection at a planned stop

At the signal, requests of other nodes that may outlast the stop are refused if they wait for a slot. One that had a slot, and waited for its connection to the backend server (up to 0.5 s), was sent after the signal and broken off at the end of the stop. With a grace time of 6 s this needs a deadline of more than 5 s, with 2 s one of 1.6 s.

Such a request is refused too: it has not been sent. Those in the queue are refused first, so that none of them gets its slot.

test_waiting_for_a_connection_does_not_keep_an_offer_from_its_refusal fails before this change, with no refusal, and passes now.

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -282,13 +282,18 @@
         """Begin a planned stop now.
 
         Requests of other nodes that may outlast it are refused if they wait
-        for a slot or for the rest of their body.
+        for a slot, for a connection or for the rest of their body.
         """
         self._stop_plan = plan
         self._stop_began_at = self._loop.time()
-        for job in list(self._jobs.values()):
-            if not self._may_take(job) and self._queue.cancel(job.number):
+        jobs = [j for j in self._jobs.values() if not self._may_take(j)]
+        for job in jobs:
+            if self._queue.cancel(job.number):
                 self._refuse(job, frames.STOPPING)
+        # Their slots go to the requests that are still waiting.
+        for job in jobs:
+            if not job.has_ended and not job.sent_at:
+                self._end(job, frames.STOPPING, frames.STOPPING)
         for job in list(self._incomplete_jobs):
             if not self._may_take(job):
                 self._refuse(job, frames.STOPPING)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -523,6 +523,28 @@
     run_with_proxy(scenario, never_answer)
 
 
+def test_waiting_for_a_connection_does_not_keep_an_offer_from_its_refusal():
+    """They were sent to the backend server after the signal, and broken off
+    at the end of the stop.
+    """
+
+    async def scenario(member, server, sender):
+        proxy = member.inbound_proxy
+        asyncio.get_running_loop().connect_delay_s = 0.3
+        for stream, remaining_ms in enumerate(
+            (6_000, 2_000, 6_000, 2_000), start=1
+        ):
+            proxy.offer(sender, offer(stream, remaining_ms=remaining_ms))
+        await harness.settle(0.1)
+        proxy.begin_stop(PLAN)
+        refused = {f.stream: f.reason for f in sender.frames}
+        assert refused == {1: frames.STOPPING, 3: frames.STOPPING}
+        await harness.settle(1)
+        assert [h[b"id"] for _, h, _ in server.requests] == [b"r2", b"r4"]
+
+    run_with_proxy(scenario)
+
+
 def test_long_body_is_not_awaited_if_its_request_may_outlast_a_stop():
     """The sender can offer it elsewhere before it has sent all of it."""
 
