Accept empty names of zone and region

An installation with one zone or one region may leave its name empty.

Both names are only compared with those of other nodes, so that they may be empty. Control characters are still refused.

test_unusual_value_that_can_be_used_is_not_refused: the two new cases fail before this change, and pass now.

--- a/src/clementinekeel/platform/_fields.py
+++ b/src/clementinekeel/platform/_fields.py
@@ -58,6 +58,10 @@
         self._refuse(path, value, "a string, not empty, no control characters")
         return ""
 
+    def label(self, path: str) -> str:
+        """Return a string without control characters; it may be empty."""
+        return "" if self._find(path) == "" else self.text(path)
+
     def host(self, path: str) -> str:
         """Return the address of a host, without a port."""
         value = self._find(path)
--- a/src/clementinekeel/platform/settings.py
+++ b/src/clementinekeel/platform/settings.py
@@ -84,8 +84,10 @@
     ip = fields.host("self.ip")
     return settings.SidecarSettings(
         node=fields.text("self.node_name"),
-        zone=fields.text("self.zone"),
-        region=fields.text("self.region"),
+        # Only compared with those of other nodes; an installation may have
+        # just one, without a name.
+        zone=fields.label("self.zone"),
+        region=fields.label("self.region"),
         service=fields.text("self.service"),
         # Address of the backend server on the same VM.
         backend=fields.address("self.app_addr"),
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -179,6 +179,8 @@
         ("grace_s = 5", "retry_budget_ratio = 0", "retry_ratio", 0),
         ("[7000, 7015]", "[7000]", "peers", ("10.0.0.1", 7000)),
         ('service = "s"', 'service = "größe 2"', "service", "größe 2"),
+        ('zone = "z"', 'zone = ""', "zone", ""),
+        ('region = "r"', 'region = ""', "region", ""),
     ],
 )
 def test_unusual_value_that_can_be_used_is_not_refused(
