Check for pauses while a start waits for an address

Callers got 504 or 503 for their first requests at a node that had waited for the addresses of an earlier process: one with 5 s was given 2.2 s, one with 4 s was given 0.6 s.

Cause: the time since the last check counts as a pause, and the checks began when all addresses were free. What is read after a pause has less time left.

Change: the checks run from the start.

Test: test_wait_for_an_address_does_not_shorten_the_first_deadlines got 503 "deadline" before, for a request with 1 s after a wait of 3 s.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -216,6 +216,9 @@
 
             keep_running("log", self._decisions.run)
             keep_running("metrics", self._serve_metrics)
+            # Without checks, the wait for an address counts as a pause, which
+            # shortens the deadlines of the first requests.
+            keep_running("checks", self._run_checks)
             servers = [
                 await self._listen(settings.peers, self._peers.accept),
                 await self._listen(
@@ -235,7 +238,6 @@
             keep_running("configuration", self._configuration.follow)
             keep_running("registration", self._registration.maintain)
             keep_running("node_list", self._registration.follow)
-            keep_running("checks", self._run_checks)
             keep_running("settings", self._watch_settings)
             await self._stop_requested.wait()
             await self._stop(servers)
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -1210,6 +1210,34 @@
     run_node(scenario)
 
 
+def test_wait_for_an_address_does_not_shorten_the_first_deadlines(
+    run_node, monkeypatch
+):
+    """Requests of the first 50 ms had seconds less for their endpoint."""
+
+    async def scenario(environment):
+        held_s = 3
+        began_at = asyncio.get_running_loop().time()
+        await restart_without_address(
+            environment, monkeypatch, "outbound", errno.EADDRINUSE, held_s
+        )
+        environment.node._outbound_proxy.activate(harness.routing_table(2))
+        await environment.heartbeat(2)
+        waited_s = asyncio.get_running_loop().time() - began_at
+        await harness.settle(held_s - waited_s)
+        while True:
+            try:
+                answer = await environment.request(1)
+                break
+            except ConnectionRefusedError:
+                await harness.settle(0.005)
+        assert answer.status == 200
+        ((_, headers, _),) = environment.server.requests
+        assert int(headers[b"deadline"]) > 900
+
+    run_node(scenario)
+
+
 @pytest.mark.parametrize("name", ["outbound", "peers"])
 def test_signal_to_stop_ends_a_start_that_waits(run_node, monkeypatch, name):
     """The signal was only noticed once the node listened everywhere."""
