Log how many connections callers may hold

Cause: the number depends on the system's limit on descriptors as well as on the settings, and nothing told which one a node has.

Change: node_started names it.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -234,6 +234,7 @@
                 False,
                 zone=settings.zone,
                 service=settings.service,
+                max_callers=self._max_callers,
             )
             keep_running("configuration", self._configuration.follow)
             keep_running("registration", self._registration.maintain)
