End after an unexpected error without waiting for a reader

Operators would see: a process that neither serves nor ends after an unexpected error, while nobody reads its standard error.

Cause: the interpreter prints the traceback with a blocking write.

Change: the innermost calls of the traceback are printed like other messages, if standard error takes them at once, and the process ends with exit code 1.

Measured: test_unexpected_error_does_not_wait_for_a_reader[full] times out on the code before; after, it passes.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -2,6 +2,7 @@
 
 import gc
 import time
+import traceback
 
 import anyio
 from returns import result
@@ -25,6 +26,8 @@
 """Time for which faulty settings are read again at the start: the platform may
 be writing the file at that moment."""
 SETTINGS_RETRY_S = 0.1
+TRACEBACK_ENTRIES = -8
+"""The innermost calls; a message on standard error is cut at its end."""
 GC_THRESHOLD = 20_000
 """Requests leave few reference cycles, so that collections are rare and short
 with this threshold."""
@@ -36,8 +39,8 @@
     Returns
     -------
     int
-        Exit code: 0 after a planned stop, 1 if the settings are faulty or an
-        address cannot be listened on.
+        Exit code: 0 after a planned stop, 1 if the settings are faulty, an
+        address cannot be listened on, or after an unexpected error.
     """
     path = settings_module.settings_path()
     loaded = _load_settings(path)
@@ -52,6 +55,10 @@
     except listening.ListenError as error:
         standard_streams.print_error(str(error))
         return EXIT_FAULTY
+    except Exception:
+        # The interpreter would wait for a reader of the traceback.
+        standard_streams.print_error(traceback.format_exc(TRACEBACK_ENTRIES))
+        return EXIT_FAULTY
     return 0
 
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,11 +1,16 @@
 """The start of a node on the users' platform."""
 
+import os
+import subprocess
+import sys
+
 import pytest
 
 from clementinekeel.platform import main
 from clementinekeel.platform import settings
 from clementinekeel.sidecar import listening
 from tests.platform import test_settings
+from tests.runtime import test_standard_streams
 
 
 @pytest.fixture
@@ -68,3 +73,40 @@
     code, _, _ = start(test_settings.FILE, run_node=fail)
     assert code == main.EXIT_FAULTY
     assert capsys.readouterr().err == "listen (10.0.0.1:1): in use\n"
+
+
+CRASH = """
+import sys
+
+from clementinekeel.platform import main
+
+async def fail(*_):
+    raise RuntimeError("unexpected")
+
+main._run = fail
+sys.exit(main.run())
+"""
+
+
+@pytest.mark.parametrize("is_read", [True, False], ids=["read", "full"])
+def test_unexpected_error_does_not_wait_for_a_reader(tmp_path, is_read):
+    """The interpreter printed the traceback into a full pipe, and the process
+    stayed without serving anything.
+    """
+    path = tmp_path / "settings.toml"
+    path.write_text(test_settings.FILE)
+    reader, writer = os.pipe()
+    if not is_read:
+        test_standard_streams.fill(writer)
+    done = subprocess.run(
+        [sys.executable, "-c", CRASH],
+        env={"PYTHONPATH": "src", settings.PATH_VARIABLE: str(path)},
+        stderr=writer,
+        timeout=60,
+        check=False,
+    )
+    assert done.returncode == main.EXIT_FAULTY
+    if is_read:
+        assert b"RuntimeError: unexpected" in os.read(reader, 65536)
+    os.close(reader)
+    os.close(writer)
