Note awaited nodes where offers are cancelled

The outbound proxy noted them at each of its calls of the dispatcher. The dispatcher, which cancels the offers, now does it, so that no call can leave it out.

--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -94,6 +94,7 @@
     def cancel(self, exchange: exchange_module.Exchange) -> None:
         """Cancel a request at the endpoints to which it is offered."""
         pending, exchange.pending = exchange.pending, {}
+        exchange.waiting_at = [offer.peer.node for offer in pending.values()]
         for stream, offer in pending.items():
             offer.peer.cancel(stream)
 
@@ -104,6 +105,7 @@
         if len(exchange.pending) > 1:
             kept = exchange.pending.pop(stream)
             self.cancel(exchange)
+            exchange.waiting_at = []
             exchange.pending[stream] = kept
 
     def on_refusal(
--- a/src/clementinekeel/sidecar/outbound.py
+++ b/src/clementinekeel/sidecar/outbound.py
@@ -192,7 +192,7 @@
         if exchange.has_ended:
             return
         try:
-            self._withdraw(exchange)
+            self._dispatcher.cancel(exchange)
         finally:
             self._end(exchange, "caller_left", 499)
 
@@ -218,7 +218,7 @@
             return
         has_run = has_run or bool(exchange.possible_runs or exchange.pending)
         try:
-            self._withdraw(exchange)
+            self._dispatcher.cancel(exchange)
             if has_run:
                 self._fail(exchange, 502, "internal_error")
             else:
@@ -288,7 +288,7 @@
         """Answer the requests that outlast a planned stop; they may run."""
         for exchange in list(self._active):
             try:
-                self._withdraw(exchange)
+                self._dispatcher.cancel(exchange)
                 self._fail(exchange, 502, "stopping")
             except Exception as error:
                 self.on_error(exchange, error, has_run=True)
@@ -403,13 +403,6 @@
         exchange.connection.respond(answer.head, body)
         self._end(exchange, "answered", answer.status)
 
-    def _withdraw(self, exchange: exchange_module.Exchange) -> None:
-        """Cancel the offers of a request that ends without their results."""
-        exchange.waiting_at = [
-            offer.peer.node for offer in exchange.pending.values()
-        ]
-        self._dispatcher.cancel(exchange)
-
     def _record_time(
         self, exchange: exchange_module.Exchange, route: table.Route
     ) -> None:
@@ -472,9 +465,7 @@
         if exchange.has_ended:
             return
         try:
-            self._withdraw(exchange)
-            if exchange.route is not None:
-                self._record_time(exchange, exchange.route)
+            self._dispatcher.cancel(exchange)
             self._fail(exchange, 504, "timeout")
         except Exception as error:
             self.on_error(exchange, error, has_run=True)
@@ -490,6 +481,8 @@
         duration_ms = (self._loop.time() - exchange.started_at) * 1000
         self._metrics.on_request(reason, status, exchange.rank, duration_ms)
         route = exchange.route
+        if route is not None and reason == "timeout":
+            self._record_time(exchange, route)
         fields: dict[str, Any] = {
             "request_id": exchange.request_id,
             "status": status,
