Let other nodes end their links to a stopping node

At the end of a planned stop, the node closed its links once the kernel had taken the last answers. A frame that another node sent after that, for example a ping, reset the connection, and what the kernel still held of an answer was lost: the other node saw "link_lost" after the run had ended.

The node now sends the end of the stream behind its frames and waits, for no longer than before, until the other node has read it and closed. No links are opened any more in this time.

--- a/src/clementinekeel/nodes/link.py
+++ b/src/clementinekeel/nodes/link.py
@@ -72,6 +72,7 @@
         self._liveness = liveness.Liveness(self._loop.time())
         self._is_replaced = False
         self._is_ended = False
+        self._is_finished = False
         self._waiting_bytes = 0
         self.number = number
         self.peer: frames.Hello | None = None
@@ -87,7 +88,9 @@
     def is_open(self) -> bool:
         """Whether frames can be sent."""
         transport = self._transport
-        return transport is not None and not transport.is_closing()
+        if transport is None or self._is_finished:
+            return False
+        return not transport.is_closing()
 
     @property
     def is_doubtful(self) -> bool:
@@ -164,6 +167,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def finish(self) -> None:
+        """Send nothing more, and let the peer end the link.
+
+        If this side closed it, the next frame of the peer would reset the
+        connection, and the peer would lose what it has not read yet.
+        """
+        if self._transport is not None and self.is_open:
+            self._is_finished = True
+            self._transport.write_eof()
+
     def check_liveness(
         self,
         configuration_version: int,
@@ -268,5 +281,5 @@
         self._waiting_bytes = waiting_bytes
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is not None and self.is_open:
             self._transport.write(data)
--- a/src/clementinekeel/sidecar/dialer.py
+++ b/src/clementinekeel/sidecar/dialer.py
@@ -76,9 +76,16 @@
         self._random = random.Random()
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_number = 0
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """Open no more links."""
+        self._is_stopped = True
 
     def dial_if_needed(self, peer: peer_module.Peer) -> None:
         """Open a link to a node without one, unless it failed just before."""
+        if self._is_stopped:
+            return
         if not peer.is_dialing and self._loop.time() >= peer.next_dial_at:
             peer.is_dialing = True
             self._start_dialing(peer)
@@ -111,7 +118,9 @@
 
     def _on_doubt(self, peer: peer_module.Peer) -> None:
         now = self._loop.time()
-        if peer.is_replacing or now < peer.next_replacement_at:
+        if self._is_stopped or peer.is_replacing:
+            return
+        if now < peer.next_replacement_at:
             return
         peer.is_replacing = True
         peer.next_replacement_at = now + REPLACEMENT_INTERVAL_S
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -531,7 +531,7 @@
         flushed_by = self._loop.time() + plan.flush_s
         while self._loop.time() < flushed_by:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
-            if not attempt(self._has_unsent_bytes):
+            if not attempt(self._is_flushing):
                 break
 
     def _refuse_calls_if_none_can_come(self) -> None:
@@ -547,6 +547,10 @@
             and not self._has_unsent_bytes()
         )
 
+    def _is_flushing(self) -> bool:
+        """Whether callers or other nodes have not got all answers yet."""
+        return self._peers.has_links or self._has_unsent_bytes()
+
     def _has_unsent_bytes(self) -> bool:
         return self._peers.has_unsent_bytes or any(
             connection.unsent_bytes for connection in self._connections
--- a/src/clementinekeel/sidecar/peers.py
+++ b/src/clementinekeel/sidecar/peers.py
@@ -92,6 +92,11 @@
         """Whether frames wait to be sent on any link."""
         return any(link.unsent_bytes for link in self._open_links())
 
+    @property
+    def has_links(self) -> bool:
+        """Whether any link has not ended."""
+        return any(True for _ in self._open_links())
+
     def attach(
         self, inbound_proxy: inbound.InboundProxy, outbound_proxy: Any
     ) -> None:
@@ -226,9 +231,10 @@
         )
 
     def close(self) -> None:
-        """Close all links after their pending frames are sent."""
+        """Open no more links, and let the other nodes end all of them."""
+        self._dialer.stop()
         for link in self._open_links():
-            link.close()
+            link.finish()
 
     def _tier(self, zone: str, region: str) -> placement.Tier:
         if zone == self._settings.zone:
--- a/tests/memory_loop.py
+++ b/tests/memory_loop.py
@@ -75,6 +75,7 @@
         self.is_silent = False
         self.is_stalled = False
         self.is_ending = False
+        self.has_sent_eof = False
         self.unsent = []
         self.written = b""
 
@@ -90,9 +91,24 @@
         unsent, self.unsent = self.unsent, []
         for data in unsent:
             self.loop.after_delay(self.peer.deliver, data)
+        if self.has_sent_eof:
+            self._deliver_eof()
         if self.is_ending:
             self._close(None, None)
 
+    def write_eof(self):
+        self.has_sent_eof = True
+        if not self.is_stalled:
+            self._deliver_eof()
+
+    def receive_eof(self):
+        if not self.is_closing() and not self.protocol.eof_received():
+            self.close()
+
+    def _deliver_eof(self):
+        if not self.is_closed and not self.is_silent:
+            self.loop.after_delay(self.peer.receive_eof)
+
     def silence(self):
         """Lose all packets from now on; probes of the kernel notice it."""
         self.is_silent = True
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -666,6 +666,40 @@
     assert b'"event":"reloaded"' in run_node(scenario)
 
 
+def test_planned_stop_lets_other_nodes_end_their_links(run_node, monkeypatch):
+    """The node closed them. If another node then sent a frame, for example a
+    ping, the link was reset, and the part of an answer that it had not read
+    was lost.
+    """
+    closed = []
+    close = memory_loop.MemoryTransport.close
+
+    def record(transport):
+        if not transport.is_closing():
+            closed.append((transport.local, transport.remote))
+        close(transport)
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        other = harness.Member("n2")
+        other.peers.add_or_update("n1", "n1", 5, "z1", "r1", True)
+        await harness.settle(0.5)
+        assert environment.node._peers.inbound_links == 1
+        monkeypatch.setattr(memory_loop.MemoryTransport, "close", record)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await environment.task
+        links = [
+            ends for ends in closed if ("n1", 5) in ends or ("n2", 5) in ends
+        ]
+        assert sorted(links) == [
+            (("caller", 1), ("n1", 5)),
+            (("n2", 5), ("caller", 1)),
+        ]
+
+    run_node(scenario)
+
+
 def test_connections_of_callers_leave_room_for_readiness_checks(
     run_node, monkeypatch
 ):
