Refuse a pipe as the settings file without waiting for its writer

Operators would see: a node that stops answering, also SIGTERM, once the path of its settings is a named pipe.

Cause: opening a named pipe waits for a writer, in the event loop.

Change: the file is opened without waiting, and a pipe is refused, since it cannot be read again at a reload.

Measured: test_pipe_is_an_error does not end on the code before (stopped after 20 s); after, it passes. A real node whose settings become a pipe: before, not ready after 2.5 s and still there 10 s after SIGTERM; after, ready, and ended with exit code 0.

--- a/src/clementinekeel/platform/settings.py
+++ b/src/clementinekeel/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the users' platform writes for a node."""
 
 import os
+import stat
 import tomllib
 from typing import Any
 
@@ -66,13 +67,20 @@
 
 
 def _read(path: str) -> dict[str, Any]:
-    with open(path, "rb") as file:
+    with open(path, "rb", opener=_open_at_once) as file:
+        if stat.S_ISFIFO(os.fstat(file.fileno()).st_mode):
+            raise ValueError("a pipe, which cannot be read again")
         content = file.read(MAX_FILE_BYTES + 1)
     if len(content) > MAX_FILE_BYTES:
         raise ValueError(f"longer than {MAX_FILE_BYTES} bytes")
     return tomllib.loads(content.decode())
 
 
+def _open_at_once(path: str, flags: int) -> int:
+    """Open a file; a pipe without waiting for its writer."""
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 import copy
 import math
+import os
 import tomllib
 
 import hypothesis
@@ -197,6 +198,13 @@
     assert "bytes" in str(load(tmp_path, FILE + padding).failure())
 
 
+def test_pipe_is_an_error(tmp_path):
+    """A running node waited for a writer and served nothing meanwhile."""
+    path = tmp_path / "settings.toml"
+    os.mkfifo(path)
+    assert "a pipe" in str(settings.load_settings(str(path)).failure())
+
+
 def test_missing_variable_is_named():
     loaded = settings.load_settings("")
     assert settings.PATH_VARIABLE in str(loaded.failure())
