Apply the other entries when one of them raises an error

An unexpected error for one node's entry in the store would end each full read of the node list at this entry: the nodes behind it would never be known, and the list would be read every 2 s. No entry is known to do so.

Each entry is applied by itself; the error is reported (internal_error) with the key.

--- a/src/clementinekeel/sidecar/registration.py
+++ b/src/clementinekeel/sidecar/registration.py
@@ -9,6 +9,7 @@
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
 from clementinekeel.runtime import decoding
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import peers as peers_module
 from clementinekeel.sidecar import settings as settings_module
@@ -310,6 +311,14 @@
         return snapshot
 
     def _apply(self, event: metadata.Item | metadata.Removed) -> None:
+        try:
+            self._apply_entry(event)
+        except Exception as error:
+            # The entries behind it would be read again and never applied.
+            loop = asyncio.get_running_loop()
+            supervision.report_error(loop, f"entry {event.key}", error)
+
+    def _apply_entry(self, event: metadata.Item | metadata.Removed) -> None:
         node = event.key.removeprefix(KEY_PREFIX)
         if isinstance(event, metadata.Removed):
             if event.key == self._key:
--- a/tests/sidecar/test_node_errors.py
+++ b/tests/sidecar/test_node_errors.py
@@ -232,6 +232,27 @@
     assert b'"task":"registration","error":"CancelledError"' in log
 
 
+def test_entry_that_raises_does_not_hide_the_others(run_node, monkeypatch):
+    """All entries were read again, and those behind it never applied."""
+
+    async def scenario(environment):
+        await prepare(environment)
+        FailingCalls(
+            monkeypatch,
+            environment.node._registration,
+            "_decode",
+            lambda item: item.key == "nodes/n7",
+        )
+        put_node(environment, "n7")
+        put_node(environment, "n8")
+        await harness.settle(registration.WATCH_PAUSE_S + 0.1)
+        assert "n8" in environment.node._peers._peers
+
+    lines = run_node(scenario)
+    assert b'"reason":"entry nodes/n7"' in lines
+    assert b'"task_failed"' not in lines
+
+
 def test_node_starts_while_the_metrics_fail(run_node, monkeypatch):
     faults = []
     listen = test_node.node.Node._listen
