Report errors in the health checks of a backend server

The task of a health check is kept and its result is never read, so that an unexpected error in it left no log line: OverflowError of a backend address with a port of 99999, for example. The error is now reported (internal_error); later heartbeats decide, as after a failed check.

--- a/src/clementinekeel/sidecar/backend_verification.py
+++ b/src/clementinekeel/sidecar/backend_verification.py
@@ -17,12 +17,14 @@
 """
 
 import asyncio
+from collections.abc import Coroutine
 from typing import NamedTuple
 
 from clementinekeel.backends import self_report
 from clementinekeel.callers import dialect as dialect_module
 from clementinekeel.membership import heartbeats
 from clementinekeel.runtime import decision_log
+from clementinekeel.runtime import supervision
 from clementinekeel.sidecar import entry as entry_module
 from clementinekeel.sidecar import inbound
 
@@ -113,8 +115,7 @@
             )
         self._candidate = self._earlier = heartbeat
         if entry.health_path:
-            loop = asyncio.get_running_loop()
-            self._health_check = loop.create_task(
+            self._start(
                 self._check_until_answered(heartbeat, entry.health_path)
             )
 
@@ -152,10 +153,19 @@
     ) -> None:
         self._candidate = heartbeat
         if health_path:
+            self._start(self._confirm(heartbeat, health_path))
+
+    def _start(self, check: Coroutine[None, None, None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._health_check = loop.create_task(self._run(check))
+
+    async def _run(self, check: Coroutine[None, None, None]) -> None:
+        """Run health checks; after an error, later heartbeats decide."""
+        try:
+            await check
+        except Exception as error:
             loop = asyncio.get_running_loop()
-            self._health_check = loop.create_task(
-                self._confirm(heartbeat, health_path)
-            )
+            supervision.report_error(loop, "health check", error)
 
     def _is_confirmed(
         self, heartbeat: heartbeats.Heartbeat, earlier: heartbeats.Heartbeat
--- a/tests/sidecar/test_node_errors.py
+++ b/tests/sidecar/test_node_errors.py
@@ -253,6 +253,27 @@
     assert b'"task_failed"' not in lines
 
 
+def test_health_check_that_raises_is_logged(run_node, monkeypatch):
+    """The error stayed in a task whose result nobody reads."""
+
+    async def scenario(environment):
+        async def raise_error(*_):
+            raise OverflowError("port must be 0-65535")
+
+        monkeypatch.setattr(
+            test_node.node.inbound.local, "check_health", raise_error
+        )
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        await environment.heartbeat(2)
+        await harness.settle(0.1)
+        assert (await environment.request(1)).status == 200
+
+    lines = run_node(scenario)
+    assert b'"reason":"health check"' in lines
+    assert b'"error":"OverflowError"' in lines
+
+
 def test_node_starts_while_the_metrics_fail(run_node, monkeypatch):
     faults = []
     listen = test_node.node.Node._listen
