--- a/tests/sidecar/test_node_errors.py
+++ b/tests/sidecar/test_node_errors.py
@@ -149,16 +149,6 @@
     assert environment.node._outbound_proxy.service == "third"
 
 
-def patch_metrics(monkeypatch, environment):
-    """End the listener for the metrics; its address can't be used again."""
-    return FailingCalls(
-        monkeypatch,
-        environment.node,
-        "_listen",
-        lambda address, *_: address == environment.settings.metrics,
-    )
-
-
 async def metrics_work(environment):
     answer = await test_node.call(
         environment.settings.metrics, b"GET /metrics HTTP/1.1\r\n\r\n"
