Apply a changed grace time at a reload

A planned stop kept to the grace time with which the node was started. If the settings file had a shorter one since, the platform killed the node with its requests; the log said "reloaded".

A reload now plans the stop with the new grace time. Of the settings, the service and the grace time take effect at a reload, and the others at the next start, as before.

--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -482,7 +482,11 @@
         self._apply(self._adapter.reload_settings())
 
     def _apply(self, loaded: _LoadedSettings) -> None:
-        """Use changed settings, or none of them if they were refused."""
+        """Use the service and the grace time of changed settings.
+
+        If they were refused, all stays as it is. The other settings take
+        effect at the next start.
+        """
         self._latest_content = self._content_of(loaded)
         changed = loaded.value_or(None)
         if changed is None:
@@ -491,6 +495,7 @@
                 "reload_failed", False, reason=str(loaded.failure())
             )
             return
+        self._stop_plan = stop_plan.plan_stop(changed.stop_timeout_ms / 1000)
         self._outbound_proxy.service = changed.service
         self._decisions.write("reloaded", False, service=changed.service)
 
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -786,6 +786,36 @@
     assert b'"event":"internal_error"' not in log
 
 
+def test_planned_stop_keeps_to_the_grace_time_of_a_reload(run_node):
+    """It kept to the one at the start, and a node whose grace time had become
+    shorter was killed with its requests.
+    """
+
+    async def scenario(environment):
+        await environment.heartbeat()
+        await harness.settle(0.1)
+        environment.node._outbound_proxy.activate(
+            harness.routing_table(
+                2, (harness.ROUTE._replace(timeout_ms=30_000),)
+            )
+        )
+        environment.behave = lambda c, h, i: None
+        request = asyncio.ensure_future(environment.request(1, timeout_s=30))
+        environment.reloaded = environment.settings._replace(
+            stop_timeout_ms=2_000
+        )
+        os.kill(os.getpid(), signal.SIGHUP)
+        await harness.settle(0.1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await harness.settle(1.6)
+        assert not environment.task.done()
+        await harness.settle(0.3)
+        assert environment.task.done()
+        assert (await request).status == 502
+
+    run_node(scenario)
+
+
 @pytest.mark.parametrize("max_descriptors", [100, 400, 501])
 def test_low_limit_on_descriptors_leaves_callers_a_part(
     run_node, monkeypatch, max_descriptors
