Ignore signals after a planned stop has ended

When a planned stop has ended, the node gives back SIGTERM, SIGINT and SIGHUP, which then have their default action until the interpreter has ended. A SIGHUP or a second SIGTERM in this time ended the process with a signal in place of code 0. No request was on it.

They are ignored from the end of the node on.

--- a/src/clementinekeel/platform/main.py
+++ b/src/clementinekeel/platform/main.py
@@ -1,6 +1,7 @@
 """Runs a forwarding node on the users' platform."""
 
 import gc
+import signal
 import time
 import traceback
 
@@ -88,3 +89,7 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     await sidecar.run()
+    # The node has given the signals back, and the interpreter takes some
+    # 30 ms to end.
+    for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,6 +1,8 @@
 """The start of a node on the users' platform."""
 
+import asyncio
 import os
+import signal
 import subprocess
 import sys
 
@@ -12,6 +14,8 @@
 from tests.platform import test_settings
 from tests.runtime import test_standard_streams
 
+SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+
 
 @pytest.fixture
 def start(tmp_path, monkeypatch):
@@ -110,3 +114,26 @@
         assert b"RuntimeError: unexpected" in os.read(reader, 65536)
     os.close(reader)
     os.close(writer)
+
+
+def test_signals_do_not_end_a_process_after_its_planned_stop(monkeypatch):
+    """A SIGHUP in the last 30 ms ended it with a signal in place of code 0."""
+
+    class StoppedNode:
+        def __init__(self, *_):
+            pass
+
+        async def run(self):
+            pass
+
+    for name in ("collect", "freeze", "set_threshold"):
+        monkeypatch.setattr(main.gc, name, lambda *_: None)
+    monkeypatch.setattr(main.node, "Node", StoppedNode)
+    known = {number: signal.getsignal(number) for number in SIGNALS}
+    try:
+        asyncio.run(main._run(None, ""))
+        handlers = {signal.getsignal(number) for number in SIGNALS}
+    finally:
+        for number, handler in known.items():
+            signal.signal(number, handler)
+    assert handlers == {signal.SIG_IGN}
