--- a/src/clementinekeel/sidecar/listening.py
+++ b/src/clementinekeel/sidecar/listening.py
@@ -12,7 +12,7 @@
 """Connections that may wait to be accepted; a full backlog delays a caller by
 seconds."""
 RETRY_INTERVAL_S = 0.1
-_PASSING_ERRORS = frozenset(
+_TRANSIENT_ERRORS = frozenset(
     (
         errno.EADDRINUSE,
         errno.EADDRNOTAVAIL,
@@ -59,7 +59,7 @@
         make_protocol: Callable[[], asyncio.Protocol],
         wait_s: float,
     ) -> asyncio.Server:
-        """Listen on an address, and wait for it while an error may pass.
+        """Listen on an address; try again after a transient error.
 
         Raises
         ------
@@ -78,8 +78,8 @@
                 )
             except OSError as error:
                 failure = error
-            can_pass = failure.errno in _PASSING_ERRORS
-            if not can_pass or loop.time() >= give_up_at:
+            is_transient = failure.errno in _TRANSIENT_ERRORS
+            if not is_transient or loop.time() >= give_up_at:
                 place = f"{address.host}:{address.port}"
                 raise ListenError("listen", place, str(failure))
             if failure.errno != logged:
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -1325,7 +1325,7 @@
 @pytest.mark.parametrize(
     ("error", "waited_s"),
     [(errno.EADDRINUSE, 9.0), (errno.EACCES, 0.0)],
-    ids=["passing", "lasting"],
+    ids=["transient", "permanent"],
 )
 def test_start_that_fails_ends_with_one_error_and_one_line(
     run_node, monkeypatch, error, waited_s
