Refuse the other offers when one fails at a planned stop

An unexpected error while one offer was refused at a planned stop ended the loop over the others. Those that waited were started later in the stop, although they may outlast it; those without their whole body got no result, and at the end of the offers the new status was not published.

--- a/src/clementinekeel/sidecar/inbound.py
+++ b/src/clementinekeel/sidecar/inbound.py
@@ -289,14 +289,14 @@
         jobs = [j for j in self._jobs.values() if not self._may_take(j)]
         for job in jobs:
             if self._queue.cancel(job.number):
-                self._refuse(job, frames.STOPPING)
+                self._try(job, self._refuse, frames.STOPPING)
         # Their slots go to the requests that are still waiting.
         for job in jobs:
             if not job.has_ended and not job.sent_at:
-                self._end(job, frames.STOPPING, frames.STOPPING)
+                self._try(job, self._end, frames.STOPPING, frames.STOPPING)
         for job in list(self._incomplete_jobs):
             if not self._may_take(job):
-                self._refuse(job, frames.STOPPING)
+                self._try(job, self._refuse, frames.STOPPING)
 
     def stop(self) -> None:
         """Accept no new requests and refuse those that have not started."""
@@ -304,16 +304,13 @@
         self._is_stopping = True
         self._apply(self._queue.refuse_all("leaving"))
         for job in list(self._incomplete_jobs):
-            self._refuse(job, "leaving")
+            self._try(job, self._refuse, "leaving")
         self._report_status_change(before)
 
     def end_all(self) -> None:
         """Report the requests that outlast a planned stop as failed."""
         for job in list(self._jobs.values()):
-            try:
-                self._fail(job, "stopping")
-            except Exception as error:
-                self._on_error(job, error)
+            self._try(job, self._fail, "stopping")
 
     def offer(
         self,
@@ -431,6 +428,18 @@
             )
             self._on_status_change()
 
+    def _try(
+        self,
+        job: job_module.Job,
+        step: Callable[..., None],
+        *arguments: object,
+    ) -> None:
+        """Carry out a step for one job, so that its error ends only this."""
+        try:
+            step(job, *arguments)
+        except Exception as error:
+            self._on_error(job, error)
+
     def _on_error(self, job: job_module.Job, error: Exception) -> None:
         """End a job whose handling has raised; free all that it holds.
 
@@ -504,17 +513,11 @@
         for refusal in changes.refused:
             job = self._jobs.get(refusal.number)
             if job is not None:
-                try:
-                    self._refuse(job, refusal.reason)
-                except Exception as error:
-                    self._on_error(job, error)
+                self._try(job, self._refuse, refusal.reason)
         for number in changes.admitted:
             job = self._jobs.get(number)
             if job is not None:
-                try:
-                    self._start(job)
-                except Exception as error:
-                    self._on_error(job, error)
+                self._try(job, self._start)
         self._schedule_start()
 
     def _schedule_start(self) -> None:
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -593,6 +593,47 @@
     run_with_proxy(scenario)
 
 
+@pytest.mark.parametrize(
+    "stop", [refuse_at_the_signal, refuse_at_the_end_of_the_offers]
+)
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_error_for_one_offer_does_not_keep_the_others_from_their_refusal(
+    monkeypatch, stop, is_complete
+):
+    """Those behind it were started during the stop, or never got a result."""
+
+    async def scenario(member, server, sender):
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        proxy = member.inbound_proxy
+        for stream in range(1, 6):
+            proxy.offer(
+                sender,
+                offer(
+                    stream,
+                    remaining_ms=6_000,
+                    body=b"a",
+                    body_bytes=1 if is_complete else 2,
+                ),
+            )
+        await harness.settle()
+        refuse, refused = proxy._refuse, []
+
+        def fail_once(job, reason):
+            refused.append(job)
+            if len(refused) == 1:
+                raise ValueError
+            refuse(job, reason)
+
+        monkeypatch.setattr(proxy, "_refuse", fail_once)
+        stop(proxy)
+        expected = range(3, 6) if is_complete else range(1, 6)
+        assert sorted(f.stream for f in sender.frames) == list(expected)
+        assert {type(f) for f in sender.frames} == {frames.Refusal}
+        assert not proxy._incomplete_jobs
+
+    run_with_proxy(scenario, never_answer)
+
+
 def test_incomplete_offers_are_forgotten_when_they_end():
     """Each would be kept with its body until the end of the process."""
 
