Play planned work with long requests in the soak

Change: a second profile with planned work only: stops in overlapping series, of a whole service, with further signals, restarts that don't wait for the earlier process, faulty settings with SIGHUP, and restarts without a standard output. Clients use open connections until the process is gone. The share after the recovery is counted when the last requests have ended: requests of seconds counted as failed while they ran.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 from soak import checker
+from soak import profiles
 from soak import regressions
 from soak import run
 
@@ -39,6 +40,12 @@
     parser.add_argument(
         "--sabotage", default="", help="sabotage of the nodes, by its name"
     )
+    parser.add_argument(
+        "--profile",
+        default="mixed",
+        choices=profiles.PROFILES.names,
+        help="services, load and kinds of faults",
+    )
     return parser.parse_args()
 
 
@@ -70,6 +77,7 @@
             arguments.nodes,
             arguments.keep,
             arguments.sabotage,
+            arguments.profile,
         )
     )
     fields = result._asdict()
@@ -86,6 +94,7 @@
     for regression in regressions.REGRESSIONS:
         arguments.seconds = regression.seconds
         arguments.nodes = regression.nodes
+        arguments.profile = regression.profile
         codes.append(
             _run_seeds(arguments, range(regression.seed, regression.seed + 1))
         )
@@ -112,6 +121,7 @@
         "--seed": seed,
         "--seconds": arguments.seconds,
         "--nodes": arguments.nodes,
+        "--profile": arguments.profile,
     }
     command_arguments = [
         str(item) for pair in options.items() for item in pair
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -15,10 +15,10 @@
 from soak import _http
 from soak import checker as checker_module
 from soak import relay
+from soak import stops as stops_module
 
 HEARTBEAT_INTERVAL_S = 1.5
 HEALTH_PATH = "/health"
-CALL_TIMEOUT_S = 1.0
 BODY_BYTES = 2_000
 LONG_BODY_BYTES = 200_000
 """Longer than the part of a body that nodes send in one frame."""
@@ -68,6 +68,8 @@
     ----------
     called_service : str
         Service that it calls for each request; empty for none.
+    call_timeout_s : float
+        Longest time for a call; the deadline of the request may be sooner.
     work_s : float
         Mean duration of the work on a request.
     listen : relay.Address
@@ -83,6 +85,7 @@
         node: str,
         service: str,
         called_service: str,
+        call_timeout_s: float,
         work_s: float,
         slots: int,
         listen: relay.Address,
@@ -93,6 +96,7 @@
         self.node = node
         self.service = service
         self.called_service = called_service
+        self.call_timeout_s = call_timeout_s
         self.work_s = work_s
         self.slots = slots
         self.listen = listen
@@ -324,10 +328,16 @@
             await self._work(work_s * self.faults.slowness, disconnected_at)
             status = 200
             if self.spec.called_service and not disconnected_at:
-                expires_at = now + (remaining_s or CALL_TIMEOUT_S)
+                timeout_s = self.spec.call_timeout_s
+                expires_at = now + (remaining_s or timeout_s)
                 status = await self._call_service(request_id, expires_at)
         finally:
             self._running -= 1
+            ended_at = (disconnected_at or [self._loop.time()])[0]
+            work = stops_module.Work(
+                now, ended_at, is_finished=not disconnected_at
+            )
+            self._checker.stops.on_run_end(request_id, self.name, work)
         if disconnected_at:
             self._checker.on_work_after_disconnect(
                 request_id, disconnected_at[0], disconnected_at[0]
@@ -351,7 +361,9 @@
 
     async def _call_service(self, request_id: str, expires_at: float) -> int:
         call_id = f"{request_id}.{self._random.getrandbits(40):010x}"
-        remaining_s = min(CALL_TIMEOUT_S, expires_at - self._loop.time())
+        remaining_s = min(
+            self.spec.call_timeout_s, expires_at - self._loop.time()
+        )
         if remaining_s <= 0:
             return 504
         sent = checker_module.SentRequest(
@@ -388,6 +400,8 @@
             answer.headers.get("response-seal", ""),
             answer.body,
         )
+        if answer.status in checker_module.REFUSAL_STATUSES:
+            self._checker.counts["failed by a refused call"] += 1
         return 200 if answer.status == 200 else 500
 
     def _answer(
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -13,6 +13,7 @@
 
 from soak import crashes as crashes_module
 from soak import statements as statements_module
+from soak import stops as stops_module
 
 # Bounds of the operators' rules for the standard deployments.
 SETTLING_S = 4.0
@@ -50,6 +51,7 @@
     RETRY_BUDGET = "retry budget"
     CANCELLED_WITH_CALLER = "cancelled with its caller"
     NOT_CUT = "no request cut"
+    NOT_BROKEN_OFF = "no running request broken off by a planned stop"
     ANSWERED_IN_TIME = "answered in time"
     CONFIGURATION_IN_FORCE = "configuration in force"
     RECOVERY = "recovery"
@@ -75,6 +77,14 @@
     node: str
 
 
+class AnswerRecord(NamedTuple):
+    """The answer that a client received; without a seal it is a node's own."""
+
+    at: float
+    status: int
+    has_seal: bool
+
+
 class Violation(NamedTuple):
     """A violation of a guarantee."""
 
@@ -84,11 +94,19 @@
 
 
 class Disruption:
-    """A fault at a node; its end is infinite while it lasts."""
+    """A fault at a node; its end is infinite while it lasts.
+
+    Attributes
+    ----------
+    is_planned : bool
+        Whether it is the restart after a planned stop, in which requests may
+        not be lost.
+    """
 
-    def __init__(self, start: float, end: float) -> None:
+    def __init__(self, start: float, end: float, is_planned: bool) -> None:
         self.start = start
         self.end = end
+        self.is_planned = is_planned
 
 
 class Disruptions:
@@ -99,9 +117,11 @@
             list
         )
 
-    def begin(self, node: str, start: float) -> Disruption:
+    def begin(
+        self, node: str, start: float, is_planned: bool = False
+    ) -> Disruption:
         """Record the start of a fault."""
-        disruption = Disruption(start, float("inf"))
+        disruption = Disruption(start, float("inf"), is_planned)
         self._by_node[node].append(disruption)
         return disruption
 
@@ -109,15 +129,26 @@
         """Record the end of a fault; the node needs ``SETTLING_S`` more."""
         disruption.end = end + SETTLING_S
 
-    def add(self, node: str, start: float, end: float) -> None:
+    def add(
+        self, node: str, start: float, end: float, is_planned: bool = False
+    ) -> None:
         """Record a fault whose end is known."""
-        self.end(self.begin(node, start), end)
+        self.end(self.begin(node, start, is_planned), end)
 
-    def is_undisrupted(self, node: str, start: float, end: float) -> bool:
-        """Tell whether a node had no disruption from start to end."""
+    def is_undisrupted(
+        self, node: str, start: float, end: float, counts_planned: bool = True
+    ) -> bool:
+        """Tell whether a node had no disruption from start to end.
+
+        Parameters
+        ----------
+        counts_planned : bool
+            Whether restarts after planned stops are disruptions.
+        """
         return not any(
             disruption.start <= end and start <= disruption.end
             for disruption in self._by_node.get(node, ())
+            if counts_planned or not disruption.is_planned
         )
 
 
@@ -132,11 +163,12 @@
         self.disruptions = Disruptions()
         self.statements = statements_module.Statements()
         self.crashes = crashes_module.Crashes()
+        self.stops = stops_module.PlannedStops()
         self._violations: list[Violation] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self._sent: dict[str, SentRequest] = {}
         self._runs: dict[str, list[Run]] = collections.defaultdict(list)
-        self._answers: dict[str, tuple[float, int]] = {}
+        self._answers: dict[str, AnswerRecord] = {}
         self._backend_answers: dict[str, set[tuple[str, int, bytes]]] = (
             collections.defaultdict(set)
         )
@@ -252,7 +284,7 @@
     ) -> None:
         """Record the answer that a client received."""
         self.counts[f"status {status}"] += 1
-        self._answers[request_id] = at, status
+        self._answers[request_id] = AnswerRecord(at, status, bool(seal))
         backend_answers = self._backend_answers.get(request_id, set())
         is_own = (seal, status, body) in backend_answers
         if status < 300 and not is_own:
@@ -289,7 +321,7 @@
         sent = self._sent[request_id]
         runs = self._runs.get(request_id, [])
         nodes = [sent.node, *(run.node for run in runs)]
-        if not self._are_undisrupted(nodes, sent.at, at):
+        if not self._are_undisrupted(nodes, sent.at, at, not is_planned):
             return
         if not runs and at - sent.at <= CLOSE_RACE_S:
             # The node closed the connection before it read the request.
@@ -339,6 +371,7 @@
         """Return all violations, with those found only at the end of a run."""
         for request_id in self._answers:
             self._check_refusal(request_id)
+            self._check_broken_off(request_id)
         for service, repeats in self._repeats.items():
             self._check_repeats(service, repeats)
         for endpoint, at, count, allowed, nodes in self.statements.excesses():
@@ -371,20 +404,56 @@
             if start <= sent.at < end and "." not in request_id
         ]
         succeeded = sum(
-            self._answers.get(request_id, (0.0, 0))[1] == 200
+            request_id in self._answers
+            and self._answers[request_id].status == 200
             for request_id in sent_requests
         )
         return succeeded / len(sent_requests) if sent_requests else 1.0
 
     def _are_undisrupted(
-        self, nodes: Iterable[str], start: float, end: float
+        self,
+        nodes: Iterable[str],
+        start: float,
+        end: float,
+        counts_planned: bool = True,
     ) -> bool:
         return all(
-            self.disruptions.is_undisrupted(node, start, end) for node in nodes
+            self.disruptions.is_undisrupted(node, start, end, counts_planned)
+            for node in nodes
         )
 
+    def _check_broken_off(self, request_id: str) -> None:
+        """Check that a planned stop did not answer in place of a run.
+
+        The rules excuse the end of a stop at the node that took the request,
+        not one at the node of the backend server.
+        """
+        at, status, has_seal = self._answers[request_id]
+        sent = self._sent[request_id]
+        budget_ends_at = sent.at + sent.timeout_s - stops_module.BUDGET_SLACK_S
+        if has_seal or status < 500 or at >= budget_ends_at:
+            return
+        nodes = {
+            run.node
+            for run in self._runs.get(request_id, ())
+            if self.stops.is_at_work(request_id, run.endpoint, run.at, at)
+        }
+        if not nodes:
+            return
+        nodes.add(sent.node)
+        stopping = sorted(n for n in nodes if self.stops.is_stopping(n, at))
+        if not stopping or self.stops.excuses(sent.node, sent.at, at):
+            return
+        if self._are_undisrupted(nodes, sent.at, at, counts_planned=False):
+            self._record_violation(
+                Guarantee.NOT_BROKEN_OFF,
+                at,
+                f"{request_id} at {sent.node} got {status} after "
+                f"{at - sent.at:.2f} s, stopping: {', '.join(stopping)}",
+            )
+
     def _check_refusal(self, request_id: str) -> None:
-        at, status = self._answers[request_id]
+        at, status, _ = self._answers[request_id]
         sent = self._sent[request_id]
         runs = self._runs.get(request_id)
         if status in REFUSAL_STATUSES and runs and not sent.is_idempotent:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -114,7 +114,12 @@
 
     async def _attempt(self, request_type: RequestType) -> int:
         """Send one request; return the status, or 0 without an answer."""
-        candidates = [n for n in self._nodes if self._is_in_rotation(n)]
+        # Open connections are used until the process is gone.
+        candidates = [
+            n
+            for n in self._nodes
+            if self._is_in_rotation(n) or self._idle_connections[n]
+        ]
         if not candidates:
             return 0
         node = self._random.choice(candidates)
@@ -170,8 +175,11 @@
         self, node: str
     ) -> _http.ClientConnection | None:
         idle = self._idle_connections[node]
-        if idle and self._random.random() < 0.7:
+        is_in_rotation = self._is_in_rotation(node)
+        if idle and (not is_in_rotation or self._random.random() < 0.7):
             return idle.pop()
+        if not is_in_rotation:
+            return None
         try:
             return await _http.ClientConnection.open(*self._nodes[node])
         except _http.NoAnswerError:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,7 +70,7 @@
 FAULTS: registry.Registry[Fault] = registry.Registry("fault")
 
 
-async def _run_staggered(
+async def run_staggered(
     nodes: list[fleet_module.Node],
     act: Callable[[fleet_module.Node], Awaitable[None]],
     interval_s: float,
@@ -120,21 +120,9 @@
 @FAULTS.register("stop")
 async def stop(testbed: Testbed, random_source: random.Random) -> None:
     """Stop nodes as planned, and kill those that exceed the grace time."""
-
-    async def stop_node(node: fleet_module.Node) -> None:
-        node.stopping_until = (
-            testbed.loop.time() + fleet_module.STOP_GRACE_S + 1
-        )
-        incarnation = node.incarnation
-        node.signal(signal.SIGTERM)
-        await asyncio.sleep(fleet_module.STOP_GRACE_S)
-        if node.incarnation == incarnation:
-            testbed.fleet.checker.counts["killed after grace"] += 1
-            node.signal(signal.SIGKILL)
-
-    await _run_staggered(
+    await run_staggered(
         testbed.draw_nodes(random_source, 3),
-        stop_node,
+        lambda node: node.stop(testbed.fleet.checker),
         random_source.uniform(0, 1.5),
     )
 
@@ -412,7 +400,7 @@
         await backend.leave(random_source.random() < 0.7, silent_s)
         await testbed.fleet.start_backend(node)
 
-    await _run_staggered(
+    await run_staggered(
         testbed.draw_nodes(random_source, 2),
         replace_backend,
         random_source.uniform(0, 2),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,10 +16,11 @@
 from soak import backend as backend_module
 from soak import checker as checker_module
 from soak import relay as relay_module
+from soak import stops as stops_module
 from soak import store as store_module
 
-STOP_GRACE_S = 6.0
-"""Time that a node has for a planned stop before it is killed."""
+STOP_POLL_INTERVAL_S = 0.02
+STANDARD_OUTPUT = 1
 RESTART_DELAY_S = 0.3
 READINESS_INTERVAL_S = 1.0
 INTERPRETER_START_S = 1.0
@@ -79,12 +80,15 @@
         Service that each request calls; empty for none.
     work_s : float
         Mean duration of the work on a request.
+    call_timeout_s : float
+        Longest time for a call.
     """
 
     name: str
     called_service: str
     work_s: float
     slots: int
+    call_timeout_s: float = 1.0
 
 
 class NodeSpec(NamedTuple):
@@ -130,8 +134,68 @@
     return [sys.executable, "-m", "clementinekeel", "node", "--platform"]
 
 
+class NodeProcess:
+    """A process of a node, and the signals that explain its end."""
+
+    def __init__(
+        self, process: subprocess.Popen[bytes], started_at: float
+    ) -> None:
+        self._process = process
+        self.started_at = started_at
+        self.was_killed = False
+        self.stop_requested = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for the number of a signal."""
+        return self._process.poll()
+
+    @property
+    def pid(self) -> int:
+        """Identifier of the process."""
+        return self._process.pid
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if not self.is_running:
+            return
+        self.was_killed |= number is signal.SIGKILL
+        self.stop_requested |= number in (signal.SIGTERM, signal.SIGINT)
+        self._process.send_signal(number)
+
+    def has_ended_by_itself(self) -> bool:
+        """Tell whether no signal explains the end of the process.
+
+        Before the program has set its handlers, SIGTERM ends it at once.
+        """
+        if self.was_killed:
+            return False
+        if self.stop_requested:
+            return self.exit_code not in (0, -signal.SIGTERM, -signal.SIGINT)
+        return True
+
+    def wait(self) -> None:
+        """Wait for the end."""
+        self._process.wait()
+
+
+def _close_output() -> None:
+    os.close(STANDARD_OUTPUT)
+
+
 class Node:
-    """One node: its process, its relays and its backend server."""
+    """One node: its processes, its relays and its backend server.
+
+    Attributes
+    ----------
+    closes_output : bool
+        Whether the next process starts without a standard output.
+    """
 
     def __init__(
         self,
@@ -151,14 +215,14 @@
         self.backend: backend_module.BackendServer | None = None
         self.store_faults = relay_module.Faults()
         self.backend_faults = relay_module.Faults()
-        self.unexpected_exits = 0
+        self.closes_output = False
+        self.unexpected_exits: list[str] = []
         self._folder = folder
-        self._process: subprocess.Popen[bytes] | None = None
-        self._is_exit_expected = False
-        self._started_at = 0.0
+        self._process: NodeProcess | None = None
+        self._processes: list[NodeProcess] = []
         self._loop = asyncio.get_running_loop()
         self.settings_path = folder / f"{self.name}.toml"
-        self.settings_path.write_text(self._settings())
+        self.write_settings(self.settings.encode())
         self.log_path = folder / f"{self.name}.log"
 
     @property
@@ -171,6 +235,34 @@
         """Whether a planned stop is under way."""
         return self._loop.time() < self.stopping_until
 
+    @property
+    def age_s(self) -> float:
+        """Time since the start of the process."""
+        started_at = self._process.started_at if self._process else 0.0
+        return self._loop.time() - started_at
+
+    @property
+    def settings(self) -> str:
+        """Content of the settings file."""
+        return SETTINGS_TEMPLATE.format(
+            name=self.name,
+            host=self.host,
+            zone=self.spec.zone,
+            region=self.spec.region,
+            service=self.spec.service.name,
+            backend_port=BACKEND_PORT,
+            node_port=NODE_PORT,
+            outbound_port=OUTBOUND_PORT,
+            ready_port=READY_PORT,
+            control_port=CONTROL_PORT,
+            store_port=STORE_PORT,
+            grace_s=stops_module.GRACE_S,
+        )
+
+    def write_settings(self, content: bytes) -> None:
+        """Replace the settings file."""
+        self.settings_path.write_bytes(content)
+
     def cpu_wait_s(self) -> float:
         """Return how long the process was runnable but waited for a core.
 
@@ -186,58 +278,88 @@
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
-        process = self._process
-        if process is None or process.poll() is not None:
+        if self._process is None:
             return
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self._is_exit_expected = True
         if number is signal.SIGKILL:
             self.stopping_until = 0.0
-        process.send_signal(number)
+        self._process.signal(number)
+
+    async def stop(self, checker: checker_module.Checker) -> None:
+        """Stop the process as planned; kill it after the grace time."""
+        process = self._process
+        if process is None or not process.is_running:
+            return
+        now = self._loop.time()
+        self.stopping_until = now + stops_module.COUNTED_S
+        checker.stops.on_stop(self.name, now)
+        process.signal(signal.SIGTERM)
+        while process.is_running:
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            if self._loop.time() >= now + stops_module.GRACE_S:
+                checker.counts["killed after grace"] += 1
+                process.signal(signal.SIGKILL)
+                return
 
     def start(self) -> None:
-        """Start the process."""
+        """Start a process, also while an earlier one still stops."""
         self.incarnation += 1
-        self._started_at = self._loop.time()
-        self._is_exit_expected = False
-        self.stopping_until = 0.0
+        self.write_settings(self.settings.encode())
+        if not any(process.is_running for process in self._processes):
+            self.stopping_until = 0.0
         with self.log_path.open("ab") as log:
-            self._process = subprocess.Popen(
+            process = subprocess.Popen(
                 self._command,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_close_output if self.closes_output else None,
                 env={
                     "CLEMENTINEKEEL_SETTINGS": str(self.settings_path),
                     "PATH": os.environ.get("PATH", ""),
                     "PYTHONPATH": os.pathsep.join(p for p in sys.path if p),
                 },
             )
+        self.closes_output = False
+        self._process = NodeProcess(process, self._loop.time())
+        self._processes.append(self._process)
 
     async def supervise(self, checker: checker_module.Checker) -> None:
         """Restart the process whenever it ends."""
         while True:
-            process = self._process
-            if process is not None and process.poll() is not None:
-                if self._ended_during_interpreter_start(process):
-                    checker.counts["ended as the interpreter started"] += 1
-                elif not self._is_exit_expected:
-                    self.unexpected_exits += 1
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            for process in [p for p in self._processes if not p.is_running]:
+                self._processes.remove(process)
+                self._record_exit(process, checker)
+                if process is not self._process:
+                    continue
                 now = self._loop.time()
-                checker.disruptions.add(self.name, now, now + RESTART_DELAY_S)
+                is_planned = process.stop_requested and not process.exit_code
+                checker.disruptions.add(
+                    self.name, now, now + RESTART_DELAY_S, is_planned
+                )
                 await asyncio.sleep(RESTART_DELAY_S)
-                self.start()
-            await asyncio.sleep(0.02)
+                if process is self._process:
+                    self.start()
 
-    def _ended_during_interpreter_start(
-        self, process: subprocess.Popen[bytes]
-    ) -> bool:
+    def _record_exit(
+        self, process: NodeProcess, checker: checker_module.Checker
+    ) -> None:
+        if self._ended_during_interpreter_start(process):
+            checker.counts["ended as the interpreter started"] += 1
+        elif process.has_ended_by_itself():
+            age_s = self._loop.time() - process.started_at
+            self.unexpected_exits.append(
+                f"{self.name} exited with {process.exit_code}, {age_s:.1f} s "
+                "after its start"
+            )
+
+    def _ended_during_interpreter_start(self, process: NodeProcess) -> bool:
         """Tell whether a SIGHUP ended the process before the program ran.
 
         The interpreter takes 40 ms until the first line that could handle
         the signal, longer on a busy machine.
         """
-        age_s = self._loop.time() - self._started_at
-        ended_by_hup = process.returncode == -signal.SIGHUP
+        age_s = self._loop.time() - process.started_at
+        ended_by_hup = process.exit_code == -signal.SIGHUP
         return ended_by_hup and age_s < INTERPRETER_START_S
 
     async def poll_readiness(self) -> None:
@@ -250,12 +372,11 @@
             await asyncio.sleep(READINESS_INTERVAL_S)
 
     def kill(self) -> None:
-        """Kill the process, also if it is suspended."""
-        if self._process is not None and self._process.poll() is None:
-            self._is_exit_expected = True
-            self._process.send_signal(signal.SIGCONT)
-            self._process.kill()
-            self._process.wait()
+        """Kill the processes, also if they are suspended."""
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+            process.wait()
 
     def internal_errors(self) -> list[str]:
         """Return the internal errors and tracebacks that the node logged."""
@@ -285,22 +406,6 @@
             return False
         return answer.status == 200
 
-    def _settings(self) -> str:
-        return SETTINGS_TEMPLATE.format(
-            name=self.name,
-            host=self.host,
-            zone=self.spec.zone,
-            region=self.spec.region,
-            service=self.spec.service.name,
-            backend_port=BACKEND_PORT,
-            node_port=NODE_PORT,
-            outbound_port=OUTBOUND_PORT,
-            ready_port=READY_PORT,
-            control_port=CONTROL_PORT,
-            store_port=STORE_PORT,
-            grace_s=STOP_GRACE_S,
-        )
-
 
 class Fleet:
     """All nodes, the store, and the relays between them."""
@@ -357,6 +462,7 @@
             node=node.name,
             service=service.name,
             called_service=service.called_service,
+            call_timeout_s=service.call_timeout_s,
             work_s=service.work_s,
             slots=service.slots,
             listen=address(node.host, BACKEND_DIRECT_PORT),
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -13,6 +13,8 @@
 
 PROBE_INTERVAL_S = 0.4
 HOST = "soak.example"
+CALL_TIMEOUT_S = 4.0
+"""Time limit of the routes for calls; most callers wait for less."""
 IncarnationSource = Callable[[], int]
 """Returns how often a node's process has been started."""
 MAX_PROBED_VERSIONS = 4
@@ -129,6 +131,7 @@
                 request_type.path,
                 request_type.service,
                 request_type.is_idempotent,
+                request_type.timeout_s,
             )
             for request_type in self._request_types
         ]
@@ -157,14 +160,19 @@
         return json.dumps(content).encode()
 
     def _route(
-        self, name: str, path: str, service: str, is_idempotent: bool
+        self,
+        name: str,
+        path: str,
+        service: str,
+        is_idempotent: bool,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> dict[str, Any]:
         return {
             "name": name,
             "host": HOST,
             "prefix": path,
             "route_type": "idempotent" if is_idempotent else "non_idempotent",
-            "timeout_s": 2.0,
+            "timeout_s": timeout_s,
             "slo_s": 1.0,
             "priority": 2 if is_idempotent else 0,
             "service": service,
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -10,6 +10,7 @@
     seconds: float
     nodes: int
     cause: str
+    profile: str = "mixed"
 
 
 REGRESSIONS = (
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Sequence
 import functools
 import os
 import pathlib
@@ -10,11 +11,13 @@
 import tempfile
 from typing import NamedTuple
 
+from clementinekeel.runtime import registry
 from soak import checker as checker_module
 from soak import clients as clients_module
 from soak import faults as faults_module
 from soak import fleet as fleet_module
 from soak import operator as operator_module
+from soak import profiles
 
 READY_TIMEOUT_S = 20.0
 MEAN_FAULT_INTERVAL_S = 1.2
@@ -35,21 +38,6 @@
 delays at that time are not faults of the product. For a node, half of it
 suffices."""
 
-LOOKUP = fleet_module.Service("lookups", "ledger", 0.03, 12)
-BOOKING = fleet_module.Service("bookings", "", 0.05, 10)
-LEDGER = fleet_module.Service("ledger", "", 0.02, 12)
-SERVICES = (LOOKUP, BOOKING, LEDGER)
-REQUEST_TYPES = [
-    clients_module.RequestType(
-        "look", "GET", "/look/", "lookups", True, 2.0, 25, 0
-    ),
-    clients_module.RequestType(
-        "book", "POST", "/book/", "bookings", False, 2.0, 15, 300
-    ),
-    clients_module.RequestType(
-        "upload", "POST", "/upload/", "bookings", False, 2.0, 3, 150_000
-    ),
-]
 ZONES = (("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"))
 
 
@@ -79,21 +67,28 @@
     logs: str
 
 
-def node_specs(count: int) -> list[fleet_module.NodeSpec]:
+def node_specs(
+    count: int, services: Sequence[fleet_module.Service]
+) -> list[fleet_module.NodeSpec]:
     """Return the nodes to run; services and zones are assigned in turn."""
     return [
         fleet_module.NodeSpec(
             f"node-{number}",
             number,
-            *ZONES[number // len(SERVICES) % len(ZONES)],
-            SERVICES[number % len(SERVICES)],
+            *ZONES[number // len(services) % len(ZONES)],
+            services[number % len(services)],
         )
         for number in range(count)
     ]
 
 
 async def run_seed(
-    seed: int, seconds: float, nodes: int, log_folder: str, sabotage: str
+    seed: int,
+    seconds: float,
+    nodes: int,
+    log_folder: str,
+    sabotage: str,
+    profile_name: str,
 ) -> RunResult:
     """Run one seed.
 
@@ -108,21 +103,26 @@
         discard them.
     sabotage : str
         Sabotage of the nodes, see ``soak.sabotage``; empty for none.
+    profile_name : str
+        Name in ``profiles.PROFILES``.
     """
+    profile = profiles.PROFILES.get(profile_name)()
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     random_source = random.Random(seed)
     checker = checker_module.Checker()
     fleet = fleet_module.Fleet(
-        node_specs(nodes),
+        node_specs(nodes, profile.services),
         fleet_module.LoopbackAddresses(os.getpid()),
         folder,
         checker,
         random_source,
-        {s.name: f"/to-{s.name}/" for s in SERVICES},
+        {s.name: f"/to-{s.name}/" for s in profile.services},
         fleet_module.node_command(sabotage),
     )
     try:
-        result = await _run_fleet(seed, seconds, fleet, checker, random_source)
+        result = await _run_fleet(
+            seed, seconds, profile, fleet, checker, random_source
+        )
     finally:
         fleet.kill_all()
     if result.broken and log_folder:
@@ -137,6 +137,7 @@
 async def _run_fleet(
     seed: int,
     seconds: float,
+    profile: profiles.Profile,
     fleet: fleet_module.Fleet,
     checker: checker_module.Checker,
     random_source: random.Random,
@@ -151,9 +152,9 @@
     )
     operator = operator_module.Operator(
         fleet.store,
-        REQUEST_TYPES,
-        [s.name for s in SERVICES],
-        LEDGER.name,
+        profile.request_types,
+        [s.name for s in profile.services],
+        profile.probed_service,
         checker,
         random_source,
     )
@@ -180,22 +181,26 @@
         )
     background += [
         asyncio.ensure_future(clients.run(request_type))
-        for request_type in REQUEST_TYPES
+        for request_type in profile.request_types
     ]
     started_at = loop.time()
-    testbed = faults_module.Testbed(fleet, clients, operator, REQUEST_TYPES)
+    testbed = faults_module.Testbed(
+        fleet, clients, operator, profile.request_types
+    )
     # Faults have a random generator of their own, because the number of
     # other draws depends on the timing.
-    fault_names = await _inject_faults(testbed, random.Random(seed), seconds)
+    fault_names = await _inject_faults(
+        testbed, profile.faults, random.Random(seed), seconds
+    )
     stopped_at = loop.time()
     await asyncio.sleep(RECOVERY_S + RECOVERY_WINDOW_S)
+    for task in background:
+        task.cancel()
+    await clients.wait_for_requests()
     recovered = checker.served_share(
         stopped_at + RECOVERY_S,
         stopped_at + RECOVERY_S + RECOVERY_WINDOW_S - 1,
     )
-    for task in background:
-        task.cancel()
-    await clients.wait_for_requests()
     broken = checker.violations() + _fleet_violations(fleet, recovered)
     return RunResult(
         seed,
@@ -210,20 +215,20 @@
 
 async def _inject_faults(
     testbed: faults_module.Testbed,
+    faults: registry.Registry[faults_module.Fault],
     random_source: random.Random,
     seconds: float,
 ) -> list[str]:
     fault_names: list[str] = []
     tasks: list[asyncio.Future[None]] = []
     end = testbed.loop.time() + seconds
-    names = sorted(faults_module.FAULTS.names)
     while testbed.loop.time() < end:
         await asyncio.sleep(
             random_source.expovariate(1 / MEAN_FAULT_INTERVAL_S)
         )
-        name = random_source.choice(names)
+        name = random_source.choice(faults.names)
         fault_names.append(name)
-        fault = faults_module.FAULTS.get(name)
+        fault = faults.get(name)
         # Each fault has its own generator, so that a seed gives the same
         # faults in whatever order concurrent faults draw.
         fault_random = random.Random(random_source.getrandbits(32))
@@ -239,10 +244,10 @@
         checker_module.Violation(
             checker_module.Guarantee.NO_UNEXPECTED_EXIT,
             0.0,
-            f"{n.name} exited by itself",
+            detail,
         )
         for n in fleet.nodes.values()
-        if n.unexpected_exits
+        for detail in n.unexpected_exits
     ]
     violations += [
         checker_module.Violation(
--- a/soak/sabotage.py
+++ b/soak/sabotage.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import os
 import sys
 from typing import Any
 
@@ -16,9 +17,13 @@
 from clementinekeel.sidecar import crash_reports
 from clementinekeel.sidecar import dispatch
 from clementinekeel.sidecar import exchange as exchange_module
+from clementinekeel.sidecar import node as node_module
 from clementinekeel.sidecar import outbound
+from clementinekeel.sidecar import stop_plan
 
 REVERT_DELAY_S = 1.0
+SHORT_STOP_S = 1.0
+"""End of a planned stop that waits for no request."""
 
 SABOTAGES: registry.Registry[Callable[[], None]] = registry.Registry(
     "sabotage"
@@ -107,6 +112,23 @@
     )
 
 
+@SABOTAGES.register("short_stop")
+def short_stop() -> None:
+    """Break off running requests early in a planned stop."""
+    plan = stop_plan.StopPlan(SHORT_STOP_S, SHORT_STOP_S, SHORT_STOP_S)
+    _replace_method(
+        stop_plan,  # type: ignore[arg-type]
+        "plan_stop",
+        lambda *_arguments: plan,
+    )
+
+
+@SABOTAGES.register("exit_on_reload")
+def exit_on_reload() -> None:
+    """End the process as the settings are read again."""
+    _replace_method(node_module.Node, "_reload", lambda self: os._exit(3))
+
+
 if __name__ == "__main__":
     SABOTAGES.get(sys.argv[1])()
     sys.exit(platform_main.run())
