Restart nodes of the soak without other standard streams too

Deadlines were checked before a pause of the soak itself was recorded, as cuts were.

Change: the fault closed_output closes descriptor 1, 0 or all three. Deadlines are checked at the end of the run.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -178,6 +178,7 @@
         self._arrived: set[tuple[str, str]] = set()
         self._versions: list[tuple[int, float]] = []
         self._shown_versions: dict[str, tuple[int, float]] = {}
+        self._late_deadlines: list[tuple[str, Run, float]] = []
         self._cuts: list[tuple[str, float, bool]] = []
         self._late_counts: collections.Counter[Guarantee] = (
             collections.Counter()
@@ -246,14 +247,10 @@
             self._record_violation(
                 Guarantee.DEADLINE, run.at, f"{request_id} has no deadline"
             )
-        elif self._are_undisrupted((sent.node, run.node), sent.at, run.at):
-            excess_s = run.at + deadline_s - sent.at - sent.timeout_s
-            if excess_s > DEADLINE_SLACK_S:
-                self._record_late(
-                    Guarantee.DEADLINE,
-                    run.at,
-                    f"{request_id} has {excess_s:.2f} s too much left",
-                )
+            return
+        excess_s = run.at + deadline_s - sent.at - sent.timeout_s
+        if excess_s > DEADLINE_SLACK_S:
+            self._late_deadlines.append((request_id, run, excess_s))
 
     def on_backend_answer(
         self, request_id: str, seal: str, status: int, body: bytes
@@ -360,6 +357,8 @@
         """Return all violations, with those found only at the end of a run."""
         while self._cuts:
             self._check_cut(*self._cuts.pop())
+        while self._late_deadlines:
+            self._check_deadline(*self._late_deadlines.pop())
         for request_id in self._answers:
             self._check_refusal(request_id)
             self._check_broken_off(request_id)
@@ -432,6 +431,18 @@
         else:
             self._record_late(Guarantee.NOT_CUT, at, detail)
 
+    def _check_deadline(
+        self, request_id: str, run: Run, excess_s: float
+    ) -> None:
+        """Check a deadline that is too late, like a cut."""
+        sent = self._sent[request_id]
+        if self._are_undisrupted((sent.node, run.node), sent.at, run.at):
+            self._record_late(
+                Guarantee.DEADLINE,
+                run.at,
+                f"{request_id} has {excess_s:.2f} s too much left",
+            )
+
     def _check_broken_off(self, request_id: str) -> None:
         """Check that a planned stop did not answer in place of a run.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,7 +20,6 @@
 from soak import store as store_module
 
 STOP_POLL_INTERVAL_S = 0.02
-STANDARD_OUTPUT = 1
 RESTART_DELAY_S = 0.3
 READINESS_INTERVAL_S = 1.0
 INTERPRETER_START_S = 1.0
@@ -184,8 +183,9 @@
         self._process.wait()
 
 
-def _close_output() -> None:
-    os.close(STANDARD_OUTPUT)
+def _close_streams(streams: tuple[int, ...]) -> None:
+    for descriptor in streams:
+        os.close(descriptor)
 
 
 class Node:
@@ -193,8 +193,8 @@
 
     Attributes
     ----------
-    closes_output : bool
-        Whether the next process starts without a standard output.
+    closed_streams : tuple of int
+        Standard streams without which the next process starts.
     """
 
     def __init__(
@@ -215,7 +215,7 @@
         self.backend: backend_module.BackendServer | None = None
         self.store_faults = relay_module.Faults()
         self.backend_faults = relay_module.Faults()
-        self.closes_output = False
+        self.closed_streams: tuple[int, ...] = ()
         self.unexpected_exits: list[str] = []
         self._folder = folder
         self._process: NodeProcess | None = None
@@ -311,14 +311,18 @@
                 self._command,
                 stdout=log,
                 stderr=log,
-                preexec_fn=_close_output if self.closes_output else None,
+                preexec_fn=functools.partial(
+                    _close_streams, self.closed_streams
+                )
+                if self.closed_streams
+                else None,
                 env={
                     "CLEMENTINEKEEL_SETTINGS": str(self.settings_path),
                     "PATH": os.environ.get("PATH", ""),
                     "PYTHONPATH": os.pathsep.join(p for p in sys.path if p),
                 },
             )
-        self.closes_output = False
+        self.closed_streams = ()
         self._process = NodeProcess(process, self._loop.time())
         self._processes.append(self._process)
 
--- a/soak/planned.py
+++ b/soak/planned.py
@@ -106,9 +106,9 @@
 async def closed_output(
     testbed: faults_module.Testbed, random_source: random.Random
 ) -> None:
-    """Restart a node without a standard output."""
+    """Restart a node without a standard output, or with no stream at all."""
     (node,) = testbed.draw_nodes(random_source, 1)
-    node.closes_output = True
+    node.closed_streams = random_source.choice(((1,), (0,), (0, 1, 2)))
     await _stop_and_wait(testbed, node)
 
 
