Give the pipe in the test of the log a fixed size

Cause: the test fills a pipe of 64 KiB. With pages of 64 KiB, as some arm64 kernels have, a pipe takes 1 MiB, and the test would fail. Found by review.

Change: the test sets the size. What it asserts is unchanged.

--- a/tests/runtime/test_decision_log.py
+++ b/tests/runtime/test_decision_log.py
@@ -1,5 +1,6 @@
 """The log never blocks, and counts the lines that it left out."""
 
+import fcntl
 import json
 import os
 
@@ -69,6 +70,8 @@
     stopped for as long as nobody read its log.
     """
     reader, writer = os.pipe()
+    # The size with pages of 4 KiB; larger pages give larger pipes.
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 64 * 1024)
     write, written = os.write, []
 
     def record(descriptor, content):
