Use the usual terms in the code of planned stops and reloads

Cause: a reader of the diff stumbled over names that say little (_apply, _content_of) and over figurative ones in comments and names of tests.

Change: names and comments only.

--- a/src/clementinekeel/sidecar/dispatch.py
+++ b/src/clementinekeel/sidecar/dispatch.py
@@ -85,11 +85,11 @@
         if not exchange.offers and not self._chain.may_begin(exchange):
             self._give_up(exchange, "retry_budget")
             return
-        is_paid = exchange.backend_arrivals > 0
-        if is_paid and not self._try_consume_retry(exchange, route):
+        has_used_budget = exchange.backend_arrivals > 0
+        if has_used_budget and not self._try_consume_retry(exchange, route):
             self._give_up(exchange, exchange.last_reason)
             return
-        self._send(exchange, route, peer, is_paid)
+        self._send(exchange, route, peer, has_used_budget)
 
     def cancel(self, exchange: exchange_module.Exchange) -> None:
         """Cancel a request at the endpoints to which it is offered."""
--- a/src/clementinekeel/sidecar/exchange.py
+++ b/src/clementinekeel/sidecar/exchange.py
@@ -45,7 +45,8 @@
     stopping_refusals : int
         Offers that stopping nodes have refused.
     has_unused_retry : bool
-        Whether a retry that was paid for has not reached a backend server.
+        Whether a retry that was charged to a budget has not reached a backend
+        server.
     possible_runs : int
         Offers after which the request may have run.
     retry_after_ms : int
--- a/src/clementinekeel/sidecar/node.py
+++ b/src/clementinekeel/sidecar/node.py
@@ -475,19 +475,19 @@
         while True:
             await asyncio.sleep(SETTINGS_POLL_INTERVAL_S)
             loaded = self._adapter.reload_settings()
-            if self._content_of(loaded) != self._latest_content:
-                self._apply(loaded)
+            if self._comparable(loaded) != self._latest_content:
+                self._apply_reload(loaded)
 
     def _reload(self) -> None:
-        self._apply(self._adapter.reload_settings())
+        self._apply_reload(self._adapter.reload_settings())
 
-    def _apply(self, loaded: _LoadedSettings) -> None:
+    def _apply_reload(self, loaded: _LoadedSettings) -> None:
         """Use the service and the grace time of changed settings.
 
         If they were refused, all stays as it is. The other settings take
         effect at the next start.
         """
-        self._latest_content = self._content_of(loaded)
+        self._latest_content = self._comparable(loaded)
         changed = loaded.value_or(None)
         if changed is None:
             self._refused_reloads += 1
@@ -500,10 +500,10 @@
         self._decisions.write("reloaded", False, service=changed.service)
 
     @staticmethod
-    def _content_of(
+    def _comparable(
         loaded: _LoadedSettings,
     ) -> settings_module.SidecarSettings | str:
-        """Return the settings or the text of the error, to be compared."""
+        """Return the settings, or the text of the error."""
         changed = loaded.value_or(None)
         return str(loaded.failure()) if changed is None else changed
 
--- a/src/clementinekeel/sidecar/pending_offer.py
+++ b/src/clementinekeel/sidecar/pending_offer.py
@@ -14,7 +14,7 @@
     offered_at : float
         When the offer was made, in seconds of the runtime's clock.
     has_used_budget : bool
-        Whether the offer was paid for from a retry budget.
+        Whether the offer was charged to a retry budget.
     has_changed_link : bool
         Whether the link of the offer has been replaced.
     is_overdue : bool
--- a/tests/sidecar/test_answer_times.py
+++ b/tests/sidecar/test_answer_times.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("answers", [0, 1, answer_times.MIN_ANSWERS - 1])
-def test_few_answers_say_nothing(answers):
+def test_few_answers_give_no_estimate(answers):
     """The next answer may take several times as long as the first one."""
     assert recorded(*[0.05] * answers).sufficient_s("lookup", 0.0) is None
 
--- a/tests/sidecar/test_node.py
+++ b/tests/sidecar/test_node.py
@@ -817,7 +817,7 @@
 
 
 @pytest.mark.parametrize("max_descriptors", [100, 400, 501])
-def test_low_limit_on_descriptors_leaves_callers_a_part(
+def test_callers_may_connect_under_a_low_limit_on_descriptors(
     run_node, monkeypatch, max_descriptors
 ):
     """All connections were refused, also those of the readiness checks."""
