Keep the assertion that a stop ends before the kill

Cause: replaced 'plan.end_s < grace_s' by 'plan.end_s + 2 * plan.flush_s < grace_s' without giving the reason. The latter is stricter only if flush_s is not negative, which nothing asserted. It was added since the last answers have up to flush_s after the end of the requests.

Change: the former assertion stands again beside the new one, and flush_s must be positive.

--- a/tests/sidecar/test_stop_plan.py
+++ b/tests/sidecar/test_stop_plan.py
@@ -12,6 +12,8 @@
     """With fixed times, a short grace ended while callers were taken."""
     plan = stop_plan.plan_stop(grace_s)
     assert 0 < plan.backend_drain_s < plan.caller_drain_s < plan.end_s
+    assert plan.end_s < grace_s
+    assert plan.flush_s > 0
     assert plan.end_s + 2 * plan.flush_s < grace_s
 
 
